--- /dev/null
+++ b/src/main/java/hollyslip/Choice.java
@@ -0,0 +1,876 @@
+package hollyslip;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** All decisions of one host's scheduler, after AdapTBF (adaptive token borrowing). Its events and actions
+ * are the records of {@code HostScheduler.java}, the interface file; read that first.
+ *
+ * <p>
+ * Every request is held in the FIFO of its {@link Volume} at its {@link Node}. Each period a node's token
+ * rate is split over the active volumes (initial allocation), unused tokens are lent (redistribution) and
+ * reclaimed (re-compensation); held requests leave as the node's window has room, from the volume due
+ * soonest. */
+public final class Choice implements HostScheduler {
+  /** Allocation period, us: the document's 100 ms. */
+  static final long PERIOD = 100_000;
+
+  /** Window of a fresh node, requests: a few, as the design page says. */
+  static final double WINDOW_START = 4;
+
+  /** Bounds of the window, requests: one keeps a node under observation, 32 is the design's ceiling. */
+  static final double WINDOW_MIN = 1, WINDOW_MAX = 32;
+
+  /** The window widens while mean latency stays under this multiple of the best... */
+  static final double NEAR_BEST = 1.6;
+
+  /** ...and narrows above this one; between the two it rests, so that noise does not move it. */
+  static final double FAR_FROM_BEST = 2.4;
+
+  /** Part of the window kept by one narrowing; at most one a mean latency, since older answers tell no
+   * news. */
+  static final double NARROW = 0.85;
+
+  /** Weight of a new latency in the mean: about the last ten answers. */
+  static final double LATENCY_GAIN = 0.1;
+
+  /** Growth of the best latency per answer, so that a best from better days is forgotten in some hundreds. */
+  static final double BEST_CREEP = 1.002;
+
+  /** Latency taken for a node that has not answered yet, us: a usual disk request; only sets the first
+   * rate. */
+  static final double LATENCY_GUESS = 40_000;
+
+  /** Depth of a volume's bucket, in mean requests: the paper's three tokens. */
+  static final double BUCKET_DEPTH = 3;
+
+  /** Part of a quiet volume's record kept each period: half is gone after 3.4 s. */
+  static final double RECORD_KEEP = 0.98;
+
+  /** A volume unheard of for this long is forgotten at a node, us: longer than surges and shifts of hosts
+   * last. */
+  static final long FORGET = 60_000_000;
+
+  /** Pause after an attempt that a node turned away full or failed, us: a few service times. */
+  static final long RETRY_PAUSE = 30_000;
+
+  /** First and longest pause before a node that refused connections or went silent is tried again, us. */
+  static final long DOWN_PAUSE = 100_000, DOWN_PAUSE_MAX = 1_000_000;
+
+  /** Failures in a row without an answer that make a node suspect. */
+  static final int SUSPECT_AFTER = 2;
+
+  /** How soon a held request that a guard stops is looked at again, us. */
+  static final long POLL = 10_000;
+
+  /** Pause before the list is asked for again after a failed call, us: the call is load on discovery. */
+  static final long LIST_RETRY = 500_000;
+
+  /** Safety margin on the window of a keyed class, us: more than a message is under way. */
+  static final long KEYED_MARGIN = 20_000;
+
+  private final Settings settings;
+  private final Map<String, ClassFacts> classes = new HashMap<>();
+  private final Map<String, Plan> plans = new HashMap<>();
+  private final Map<Long, Node> nodes = new TreeMap<>();
+  private final Map<Long, Pending> pendings = new LinkedHashMap<>();
+  private final Map<Long, Limit> limits = new HashMap<>();
+  private final Map<Long, KeyLine> lines = new HashMap<>();
+  private final TreeMap<Long, Pending> unplaced = new TreeMap<>();
+  private final PriorityQueue<Pending> byDeadline = new PriorityQueue<>(Comparator.<Pending>comparingLong(
+      p -> p.deadline).thenComparingLong(p -> p.seq));
+  private final Budget budget;
+  private Consumer<Action> out;
+  private long now;
+  private long launchedAt = Long.MIN_VALUE;
+  private long periodEnd;
+  private long timerAt = Long.MAX_VALUE;
+  private long listRetryAt = Long.MAX_VALUE;
+  private boolean blocked;
+  private long seq;
+
+  public Choice(Settings settings) {
+    this.settings = Objects.requireNonNull(settings, "settings");
+    settings.classes().forEach(c -> classes.put(c.name(), new ClassFacts(c)));
+    settings.plans().forEach(p -> plans.put(p.name(), p));
+    budget = new Budget(settings.rules());
+  }
+
+  /** A class and the longest time a client has left at arrival: what is missing from it has passed before. */
+  private static final class ClassFacts {
+    final RequestClass rules;
+    long mostRemaining;
+
+    ClassFacts(RequestClass rules) {
+      this.rules = rules;
+    }
+  }
+
+  /** Rule 6: requests of one key, in order of arrival; the first alone may be sent. */
+  private static final class KeyLine {
+    final ArrayDeque<Pending> queue = new ArrayDeque<>();
+    long quietUntil = Long.MIN_VALUE;
+  }
+
+  /** Rule 7: attempts beyond the first against requests taken, in a sliding window. */
+  static final class Budget {
+    private final Rules rules;
+    private final ArrayDeque<Long> taken = new ArrayDeque<>();
+    private final ArrayDeque<Long> extra = new ArrayDeque<>();
+
+    Budget(Rules rules) {
+      this.rules = rules;
+    }
+
+    void took(long now) {
+      if (rules.budgetWindowUs() > 0) {
+        taken.add(now);
+      }
+    }
+
+    /** Both counts are taken over the same span; a request exactly as old as the span is left out, an extra
+     * kept. */
+    boolean allows(long now) {
+      if (rules.budgetWindowUs() <= 0) {
+        return true;
+      }
+      while (!taken.isEmpty() && taken.peek() <= now - rules.budgetWindowUs()) {
+        taken.poll();
+      }
+      while (!extra.isEmpty() && extra.peek() < now - rules.budgetWindowUs()) {
+        extra.poll();
+      }
+      return extra.size() + 1 <= rules.budgetFree() + rules.budgetShare() * taken.size();
+    }
+
+    void spend(long now) {
+      if (rules.budgetWindowUs() > 0) {
+        extra.add(now);
+      }
+    }
+  }
+
+  /** Rule 5: a volume's limit, this host's part. It starts empty at each launch and fills from then on: a
+   * restarted host has forgotten what it spent, and so can never be above the part it would have had without
+   * the restart. The first seconds after a launch are the price. */
+  static final class Limit {
+    private final double depth;
+    private final double rate;
+    private double level;
+    private long at;
+
+    Limit(Plan plan, int hosts, long launchedAt) {
+      depth = plan.limitBurst() / hosts;
+      rate = plan.limit() / hosts / 1e6;
+      at = launchedAt;
+    }
+
+    boolean allows(double units, long now) {
+      level = Math.min(depth, level + rate * (now - at));
+      at = now;
+      return rate == 0 || level >= units;
+    }
+
+    void add(double units) {
+      level = Math.min(depth, level + units);
+    }
+  }
+
+  /** A request until its final answer is given and its last attempt has ended. */
+  static final class Pending {
+    final Request request;
+    final RequestClass rules;
+    final Plan plan;
+    final long seq;
+    final long deadline;
+    final long aimAt;
+    final Limit limit;
+    KeyLine line;
+    Node node;
+    int attempts;
+    int out;
+    long notBefore;
+    boolean done;
+    boolean streaming;
+    boolean paid;
+
+    /** Where and when the first attempt went that is out or may have run; null while nothing may have run. */
+    Node doubtNode;
+
+    long doubtAt;
+    boolean doubtKept;
+
+    Pending(Request request, ClassFacts facts, Plan plan, long seq, long now, Limit limit) {
+      this.request = request;
+      this.rules = facts.rules;
+      this.plan = plan;
+      this.seq = seq;
+      this.limit = limit;
+      deadline = now + request.remainingUs();
+      facts.mostRemaining = Math.max(facts.mostRemaining, request.remainingUs());
+      aimAt = now + facts.rules.aimUs() - (facts.mostRemaining - request.remainingUs());
+    }
+
+    /** Rule 2: whether one more attempt may go to this node now. */
+    boolean repeatable(Node to, long now) {
+      if (doubtNode == null || rules.effect() == Effect.SAFE) {
+        return true;
+      }
+      if (rules.effect() == Effect.UNSAFE || now > doubtAt + rules.windowUs() - KEYED_MARGIN) {
+        return false;
+      }
+      return switch (rules.group()) {
+        case ALL -> true;
+        case ZONE -> to.zone.equals(doubtNode.zone);
+        case CELL -> to.cell == doubtNode.cell;
+      };
+    }
+
+    /** Rule 2: whether the client may be told that a new try does no harm. */
+    boolean refusable() {
+      return doubtNode == null || rules.effect() == Effect.SAFE || rules.effect() == Effect.KEYED && rules
+          .group() == Group.ALL;
+    }
+  }
+
+  /** A volume at a node: what it holds there, its bucket, its demand and its record of lending. */
+  static final class Volume {
+    final long key;
+    final double weight;
+    final double depth;
+    final TreeMap<Long, Pending> held = new TreeMap<>();
+    double tokens;
+    double rate;
+    long filledAt;
+    double asked;
+    double waiting;
+    double record;
+    long lastAsked;
+    boolean known;
+    double p, u, d, alpha, lent, df;
+    double lastAlpha;
+
+    Volume(long key, double weight, double depth, long now) {
+      this.key = key;
+      this.weight = weight;
+      this.depth = depth;
+      tokens = depth;
+      filledAt = now;
+    }
+
+    void fill(long now) {
+      tokens = Math.min(depth, tokens + rate * (now - filledAt));
+      filledAt = now;
+    }
+
+    /** When the bucket has, or had, enough for so many units. */
+    double dueAt(double units) {
+      double missing = Math.min(units, depth) - tokens;
+      if (rate <= 0) {
+        return missing <= 0 ? filledAt : Double.MAX_VALUE;
+      }
+      return filledAt + missing / rate;
+    }
+  }
+
+  /** A storage node as this host sees it: window, latency, health and the budget while it is cold. */
+  final class Node {
+    final long id;
+    final String zone;
+    final int cell;
+    final Map<Long, Volume> volumes = new LinkedHashMap<>();
+    NodeState state = NodeState.GONE;
+    /** When it came up, as this host believes and as the list said last; the first may be later. */
+    long born;
+    long listedBorn;
+    double window = WINDOW_START;
+    double latency;
+    double best;
+    int out;
+    int held;
+    long narrowedAt;
+    int failures;
+    boolean refusing;
+    long pausedUntil;
+    double coldTokens;
+    long coldAt;
+
+    Node(Listed listed) {
+      id = listed.node();
+      zone = listed.zone();
+      cell = listed.cell();
+    }
+
+    /** A new start: what the last process could do says nothing of this one. */
+    void restart(long bornUs, double tokens) {
+      born = bornUs;
+      window = WINDOW_START;
+      latency = 0;
+      best = 0;
+      failures = 0;
+      pausedUntil = 0;
+      refusing = false;
+      coldTokens = tokens;
+      coldAt = now;
+    }
+
+    boolean cold() {
+      return born > 0 && settings.store().coldUnits() > 0 && now < born + settings.rules().coldUs();
+    }
+
+    boolean suspect() {
+      return failures >= SUSPECT_AFTER;
+    }
+
+    /** Rule 4: this host's even part of what a cold node always bears, risen with its age as the rules
+     * promise. Half is depth and half fills over the rule's window, so that no window holds more than the
+     * whole, and a host that launches starts without the depth, so that no restart can spend it twice. */
+    boolean bears(double units) {
+      if (!cold()) {
+        return true;
+      }
+      double part = coldPart();
+      coldTokens = Math.min(part, coldTokens + part * (now - coldAt) / Math.max(1, settings.rules()
+          .fallUs()));
+      coldAt = now;
+      return coldTokens >= units;
+    }
+
+    double coldPart() {
+      Rules r = settings.rules();
+      double age = Math.min(1, (double) Math.max(0, now - born) / Math.max(1, r.coldUs()));
+      double from = Math.max(0.01, r.coldFrom());
+      return settings.store().coldUnits() / settings.hosts() / 2 * (from + (1 - from) * age) / from;
+    }
+
+    int bound() {
+      return suspect() ? 1 : (int) window;
+    }
+
+    /** Tokens a second: the window's requests, in mean units, over the mean latency. */
+    double tokenRate() {
+      double l = latency > 0 ? latency : LATENCY_GUESS;
+      return window * settings.store().meanUnits() / l * 1e6;
+    }
+
+    void answered(long tookUs) {
+      failures = 0;
+      if (refusing) {
+        // Guards against a node back from a crash before the list tells of it; also against a cut
+        // link that
+        // heals. It could harm a node that was merely out of connections: that one is slow for a
+        // while.
+        restart(now, 0);
+      }
+      double l = Math.max(1, tookUs);
+      latency = latency == 0 ? l : latency + LATENCY_GAIN * (l - latency);
+      best = best == 0 ? latency : Math.min(latency, best * BEST_CREEP);
+      if (latency < NEAR_BEST * best && out >= window - 1) {
+        window = Math.min(WINDOW_MAX, window + 1 / window);
+      } else if (latency > FAR_FROM_BEST * best) {
+        narrow(NARROW);
+      }
+    }
+
+    void narrow(double part) {
+      if (now - narrowedAt >= (latency > 0 ? latency : LATENCY_GUESS)) {
+        window = Math.max(WINDOW_MIN, window * part);
+        narrowedAt = now;
+      }
+    }
+
+    /** A time-out, a reset or a refused connection: after two in a row one request at a time, at growing
+     * pauses. It guards against silent, hanging and crashed nodes alike; harm: a node with two unlucky
+     * requests is slow to return, by one pause. */
+    void silent(boolean refused) {
+      failures++;
+      refusing |= refused && suspect();
+      narrow(0.5);
+      if (suspect()) {
+        long pause = DOWN_PAUSE << Math.min(10, failures - SUSPECT_AFTER);
+        pausedUntil = now + Math.min(DOWN_PAUSE_MAX, pause);
+      }
+    }
+
+    Volume volume(Pending p) {
+      return volumes.computeIfAbsent(p.request.volume(), k -> new Volume(k, p.plan.weight(), BUCKET_DEPTH
+          * settings.store().meanUnits(), now));
+    }
+
+    void hold(Pending p) {
+      volume(p).held.put(p.seq, p);
+      p.node = this;
+      held++;
+    }
+
+    void unhold(Pending p) {
+      if (volume(p).held.remove(p.seq) != null) {
+        held--;
+      }
+    }
+
+    /** One period's allocation: the paper's three steps, then rates for the buckets. */
+    void allocate() {
+      List<Volume> active = new ArrayList<>();
+      for (Volume v : volumes.values()) {
+        v.fill(now);
+        if (v.asked > 0 || !v.held.isEmpty()) {
+          active.add(v);
+        } else {
+          v.record *= RECORD_KEEP;
+        }
+      }
+      volumes.values().removeIf(v -> v.held.isEmpty() && now - v.lastAsked > FORGET);
+      initialAllocation(active, tokenRate() * PERIOD / 1e6);
+      redistribution(active);
+      recompensation(active);
+      for (Volume v : active) {
+        v.lastAlpha = v.alpha;
+        v.known = true;
+        v.rate = v.alpha / PERIOD;
+        v.asked = 0;
+        v.waiting = 0;
+        v.held.values().forEach(p -> v.waiting += p.request.units());
+      }
+    }
+  }
+
+  /** Equations 1 and 2: the period's tokens by weight. Demand is what was asked and what still waits from
+   * before. */
+  static void initialAllocation(List<Volume> active, double tokens) {
+    double sum = 0;
+    for (Volume v : active) {
+      sum += v.weight;
+    }
+    for (Volume v : active) {
+      v.p = sum > 0 ? v.weight / sum : 1.0 / active.size();
+      v.alpha = tokens * v.p;
+      v.d = v.asked + v.waiting;
+    }
+  }
+
+  /** Equations 3 to 8: surplus is pooled and shared by the distribution factor; records follow. */
+  static void redistribution(List<Volume> active) {
+    double pool = 0;
+    double factors = 0;
+    for (Volume v : active) {
+      v.u = !v.known ? 1 : v.lastAlpha > 0 ? v.d / v.lastAlpha : Math.max(1, v.d);
+      v.lent = Math.max(0, v.alpha - v.d);
+      v.df = v.u > 1 ? v.u + v.u * v.p : v.u * v.p;
+      pool += v.lent;
+      factors += v.df;
+    }
+    for (Volume v : active) {
+      double got = factors > 0 ? v.df / factors * pool : v.lent;
+      v.alpha += got - v.lent;
+      v.lent -= got;
+      v.record += v.lent;
+    }
+  }
+
+  /** Equations 9 to 20: borrowers give back to lenders, at most what they owed before sharing. */
+  static void recompensation(List<Volume> active) {
+    double c = 0;
+    double factors = 0;
+    for (Volume v : active) {
+      if (lender(v)) {
+        double ahead = v.alpha > 0 ? v.d / v.alpha : 1;
+        c += v.p * (Math.max(1, v.u) + Math.max(0, 1 - ahead)) / 2;
+        factors += v.df;
+      }
+    }
+    if (factors <= 0) {
+      return;
+    }
+    double pool = 0;
+    for (Volume v : active) {
+      double before = v.record - v.lent;
+      if (before < 0 && v.record < 0) {
+        double back = Math.min(v.alpha, Math.min(-before, Math.floor(c * v.alpha)));
+        v.alpha -= back;
+        v.record += back;
+        pool += back;
+      }
+    }
+    for (Volume v : active) {
+      if (lender(v)) {
+        double got = v.df / factors * pool;
+        v.alpha += got;
+        v.lent -= got;
+        v.record -= got;
+      }
+    }
+  }
+
+  private static boolean lender(Volume v) {
+    return v.record > 0 && v.record - v.lent > 0;
+  }
+
+  @Override
+  public void handle(long time, Event event, Consumer<Action> actions) {
+    Objects.requireNonNull(event, "event");
+    out = Objects.requireNonNull(actions, "actions");
+    now = time;
+    if (launchedAt == Long.MIN_VALUE) {
+      launch();
+    }
+    if (event instanceof NodeList list) {
+      members(list);
+    } else if (event instanceof ListFailed) {
+      listRetryAt = now + LIST_RETRY;
+    } else if (event instanceof Request request) {
+      take(request);
+    } else if (event instanceof Outcome outcome) {
+      outcome(outcome);
+    } else if (event instanceof Departed gone) {
+      Pending p = pendings.get(gone.request());
+      if (p != null && !p.done) {
+        finish(p);
+      }
+    } else if (event instanceof Started started) {
+      Pending p = pendings.get(started.request());
+      if (p != null) {
+        p.streaming = true;
+      }
+    } else if (event instanceof TimerDue && now >= timerAt) {
+      timerAt = Long.MAX_VALUE;
+    }
+    turn();
+  }
+
+  private void launch() {
+    launchedAt = now;
+    periodEnd = now + PERIOD;
+    if (settings.listOnRequest()) {
+      out.accept(new Watch());
+    }
+  }
+
+  /** What every event ends with: answers that are due, the period, releases, and the timer for the earliest
+   * need. */
+  private void turn() {
+    while (!byDeadline.isEmpty() && byDeadline.peek().deadline - settings.tickUs() <= now) {
+      Pending p = byDeadline.poll();
+      if (!p.done && !p.streaming) {
+        end(p);
+      }
+    }
+    if (now >= listRetryAt) {
+      listRetryAt = Long.MAX_VALUE;
+      out.accept(new Watch());
+    }
+    if (now >= periodEnd) {
+      nodes.values().forEach(Node::allocate);
+      periodEnd = now + PERIOD;
+    }
+    blocked = false;
+    for (Node n : nodes.values()) {
+      if (n.held > 0) {
+        release(n);
+      }
+    }
+    arm();
+  }
+
+  private void arm() {
+    while (!byDeadline.isEmpty() && byDeadline.peek().done) {
+      byDeadline.poll();
+    }
+    long at = Math.min(periodEnd, listRetryAt);
+    if (!byDeadline.isEmpty()) {
+      at = Math.min(at, byDeadline.peek().deadline - settings.tickUs());
+    }
+    if (blocked) {
+      at = Math.min(at, now + POLL);
+    }
+    at = Math.max(at, now + 1);
+    if (at < timerAt) {
+      timerAt = at;
+      out.accept(new SetTimer(at, at));
+    }
+  }
+
+  private void members(NodeList list) {
+    boolean first = nodes.isEmpty();
+    Map<Long, Listed> named = new HashMap<>();
+    for (Listed l : list.nodes()) {
+      named.put(l.node(), l);
+      Node n = nodes.computeIfAbsent(l.node(), k -> new Node(l));
+      boolean fresh = l.bornUs() > 0 && l.bornUs() != n.listedBorn;
+      n.listedBorn = l.bornUs();
+      n.state = l.state();
+      if (fresh) {
+        n.restart(l.bornUs(), 0);
+        n.coldTokens = first ? 0 : n.coldPart();
+      }
+    }
+    for (Node n : nodes.values()) {
+      if (list.whole() && !named.containsKey(n.id)) {
+        n.state = NodeState.GONE;
+      }
+      if (n.state != NodeState.ON && n.held > 0) {
+        List<Pending> moved = new ArrayList<>();
+        n.volumes.values().forEach(v -> moved.addAll(v.held.values()));
+        moved.forEach(n::unhold);
+        moved.forEach(p -> unplaced.put(p.seq, p));
+      }
+    }
+    List<Pending> waiting = new ArrayList<>(unplaced.values());
+    unplaced.clear();
+    waiting.forEach(this::place);
+  }
+
+  private void take(Request r) {
+    budget.took(now);
+    ClassFacts facts = classes.get(r.className());
+    Plan plan = plans.get(r.plan());
+    if (facts == null || plan == null || r.remainingUs() <= 0) {
+      out.accept(new Refuse(r.id(), 0));
+      return;
+    }
+    int hosts = r.hosts() > 0 ? r.hosts() : settings.hosts();
+    Limit limit = null;
+    if (plan.limit() > 0) {
+      limit = limits.computeIfAbsent(r.volume(), k -> new Limit(plan, hosts, launchedAt));
+    }
+    Pending p = new Pending(r, facts, plan, seq++, now, limit);
+    pendings.put(r.id(), p);
+    byDeadline.add(p);
+    if (p.rules.inOrder() && r.key() != null) {
+      p.line = lines.computeIfAbsent(r.key(), k -> new KeyLine());
+      p.line.queue.add(p);
+    }
+    place(p);
+    if (p.node != null) {
+      Volume v = p.node.volume(p);
+      v.asked += r.units();
+      v.lastAsked = now;
+    }
+  }
+
+  /** Puts a request into the FIFO of its node: the one with its data, or for a new object the least
+   * burdened. */
+  private void place(Pending p) {
+    Node choice = null;
+    double least = Double.MAX_VALUE;
+    for (Node n : nodes.values()) {
+      boolean fits = p.request.shard() < 0 || n.cell == p.request.shard();
+      if (n.state == NodeState.ON && fits && p.repeatable(n, now)) {
+        double burden = burden(n);
+        if (burden < least) {
+          least = burden;
+          choice = n;
+        }
+      }
+    }
+    if (choice == null) {
+      p.node = null;
+      unplaced.put(p.seq, p);
+    } else {
+      choice.hold(p);
+    }
+  }
+
+  /** Expected time to serve one more, us; cold and suspect nodes come last. */
+  private double burden(Node n) {
+    double latency = n.latency > 0 ? n.latency : LATENCY_GUESS;
+    double time = (n.out + n.held + 1) * latency / n.window;
+    return n.suspect() ? time + 1e9 : n.cold() ? time + 1e8 : time;
+  }
+
+  /** Sends while the window has room: first what is due, soonest first, then the heaviest that waits. */
+  private void release(Node n) {
+    if (n.state != NodeState.ON) {
+      return;
+    }
+    while (n.held > 0 && n.out < n.bound()) {
+      if (now < n.pausedUntil) {
+        blocked = true;
+        return;
+      }
+      Pending p = pick(n);
+      if (p == null) {
+        return;
+      }
+      send(n, p);
+    }
+  }
+
+  private Pending pick(Node n) {
+    Pending choice = null;
+    Volume of = null;
+    boolean choiceLate = false;
+    for (Volume v : n.volumes.values()) {
+      Pending head = null;
+      boolean late = false;
+      for (Pending p : v.held.values()) {
+        if (!ready(n, p)) {
+          blocked = true;
+          continue;
+        }
+        boolean pLate = p.aimAt < now;
+        if (head == null || late && !pLate) {
+          head = p;
+          late = pLate;
+        }
+        if (!late) {
+          break;
+        }
+      }
+      if (head == null) {
+        continue;
+      }
+      v.fill(now);
+      if (choice == null || before(v, head, late, of, choice, choiceLate)) {
+        choice = head;
+        of = v;
+        choiceLate = late;
+      }
+    }
+    return choice;
+  }
+
+  /** In time before late; then due before not due; the due by due time, the others by weight; then by
+   * arrival. */
+  private boolean before(Volume a, Pending p, boolean pLate, Volume b, Pending q, boolean qLate) {
+    if (pLate != qLate) {
+      return qLate;
+    }
+    double dueA = a.dueAt(p.request.units());
+    double dueB = b.dueAt(q.request.units());
+    if (dueA <= now != dueB <= now) {
+      return dueA <= now;
+    }
+    if (dueA > now && a.weight != b.weight) {
+      return a.weight > b.weight;
+    }
+    return dueA != dueB ? dueA < dueB : p.seq < q.seq;
+  }
+
+  /** Whether every rule lets this request be sent to the node now. */
+  private boolean ready(Node n, Pending p) {
+    boolean turn = p.line == null || p.line.queue.peek() == p && (p.attempts > 0 || now >= p.line.quietUntil);
+    return turn && now >= p.notBefore && p.repeatable(n, now) && (p.attempts == 0 || budget.allows(now)) && n
+        .bears(p.request.units()) && (p.limit == null || p.paid || p.limit.allows(p.request.units(), now));
+  }
+
+  private void send(Node n, Pending p) {
+    n.unhold(p);
+    Volume v = n.volume(p);
+    v.fill(now);
+    v.tokens -= p.request.units();
+    if (p.attempts > 0) {
+      budget.spend(now);
+    }
+    if (p.limit != null && !p.paid) {
+      p.limit.add(-p.request.units());
+    }
+    p.paid = true;
+    if (n.cold()) {
+      n.coldTokens -= p.request.units();
+    }
+    if (p.doubtNode == null) {
+      p.doubtNode = n;
+      p.doubtAt = now;
+    }
+    p.attempts++;
+    p.out++;
+    n.out++;
+    out.accept(new Send(p.request.id(), n.id, 0));
+  }
+
+  private void outcome(Outcome o) {
+    Pending p = pendings.get(o.request());
+    if (p == null || p.out == 0) {
+      return;
+    }
+    Node n = nodes.get(o.node());
+    p.out--;
+    if (n != null) {
+      n.out--;
+      judge(n, o);
+    }
+    if (!o.result().provesNotRun()) {
+      p.doubtKept = true;
+      if (p.line != null && o.result() != Result.OK && o.result() != Result.ERROR) {
+        p.line.quietUntil = now + settings.rules().orderSettleUs();
+      }
+    } else if (!p.doubtKept) {
+      p.doubtNode = null;
+    }
+    if (o.result() == Result.MOOT && p.attempts == 1 && p.limit != null) {
+      p.limit.add(p.request.units());
+      p.paid = false;
+    }
+    if (o.ended() && !p.done) {
+      finish(p);
+    } else if (!p.done) {
+      again(p, o);
+    } else {
+      forget(p);
+    }
+  }
+
+  private void judge(Node n, Outcome o) {
+    switch (o.result()) {
+      case OK -> n.answered(o.tookUs());
+      case FULL -> { n.narrow(0.5); n.pausedUntil = Math.max(n.pausedUntil, now + RETRY_PAUSE); }
+      case TIMEOUT, RESET -> n.silent(false);
+      case CONNECT_FAILED -> n.silent(true);
+      default -> {}
+    }
+  }
+
+  /** A further attempt where the rules may allow one before the client gives up; else the final answer. */
+  private void again(Pending p, Outcome o) {
+    boolean last = p.attempts >= settings.allowed().maxAttempts() || now + RETRY_PAUSE >= p.deadline;
+    boolean never = p.doubtNode != null && p.rules.effect() == Effect.UNSAFE;
+    if (last || never || o.result() == Result.CANCELLED) {
+      end(p);
+      return;
+    }
+    p.notBefore = now + RETRY_PAUSE;
+    place(p);
+  }
+
+  private void end(Pending p) {
+    if (p.refusable()) {
+      out.accept(new Refuse(p.request.id(), 0));
+    } else {
+      out.accept(new Fail(p.request.id()));
+    }
+    finish(p);
+  }
+
+  private void finish(Pending p) {
+    p.done = true;
+    unplaced.remove(p.seq);
+    if (p.node != null) {
+      p.node.unhold(p);
+    }
+    forget(p);
+  }
+
+  /** Drops a finished request once its last attempt has ended; its key then goes to the next in line. */
+  private void forget(Pending p) {
+    if (p.out > 0) {
+      return;
+    }
+    pendings.remove(p.request.id());
+    if (p.line != null) {
+      p.line.queue.remove(p);
+      if (p.line.queue.isEmpty() && p.line.quietUntil <= now) {
+        lines.remove(p.request.key(), p.line);
+      }
+    }
+  }
+}
