--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -717,7 +717,7 @@
           blocked = true;
           continue;
         }
-        boolean pLate = p.aimAt < now;
+        boolean pLate = p.aimAt < now + (long) n.latency;
         if (head == null || late && !pLate) {
           head = p;
           late = pLate;
