--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -40,6 +40,10 @@
    * news. */
   static final double NARROW = 0.85;
 
+  /** The window also narrows when mean latency passes this part of the shortest aim, and widens only under
+   * half of that: a best learned while all hosts kept the node full is no measure. */
+  static final double AIM_PART = 0.5;
+
   /** Weight of a new latency in the mean: about the last ten answers. */
   static final double LATENCY_GAIN = 0.1;
 
@@ -89,6 +93,7 @@
   private final PriorityQueue<Pending> byDeadline = new PriorityQueue<>(Comparator.<Pending>comparingLong(
       p -> p.deadline).thenComparingLong(p -> p.seq));
   private final Budget budget;
+  private final double shortestAim;
   private Consumer<Action> out;
   private long now;
   private long launchedAt = Long.MIN_VALUE;
@@ -103,6 +108,7 @@
     settings.classes().forEach(c -> classes.put(c.name(), new ClassFacts(c)));
     settings.plans().forEach(p -> plans.put(p.name(), p));
     budget = new Budget(settings.rules());
+    shortestAim = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
   }
 
   /** A class and the longest time a client has left at arrival: what is missing from it has passed before. */
@@ -374,9 +380,9 @@
       double l = Math.max(1, tookUs);
       latency = latency == 0 ? l : latency + LATENCY_GAIN * (l - latency);
       best = best == 0 ? latency : Math.min(latency, best * BEST_CREEP);
-      if (latency < NEAR_BEST * best && out >= window - 1) {
+      if (latency < Math.min(NEAR_BEST * best, shortestAim * AIM_PART / 2) && out >= window - 1) {
         window = Math.min(WINDOW_MAX, window + 1 / window);
-      } else if (latency > FAR_FROM_BEST * best) {
+      } else if (latency > Math.min(FAR_FROM_BEST * best, shortestAim * AIM_PART)) {
         narrow(NARROW);
       }
     }
