--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -88,6 +88,7 @@
   private final Map<Long, Node> nodes = new TreeMap<>();
   private final Map<Long, Pending> pendings = new LinkedHashMap<>();
   private final Map<Long, Limit> limits = new HashMap<>();
+  private final Map<Long, Limit> reserves = new HashMap<>();
   private final Map<Long, KeyLine> lines = new HashMap<>();
   private final TreeMap<Long, Pending> unplaced = new TreeMap<>();
   private final PriorityQueue<Pending> byDeadline = new PriorityQueue<>(Comparator.<Pending>comparingLong(
@@ -174,16 +175,17 @@
     private double level;
     private long at;
 
-    Limit(Plan plan, int hosts, long launchedAt) {
-      depth = plan.limitBurst() / hosts;
-      rate = plan.limit() / hosts / 1e6;
-      at = launchedAt;
+    Limit(double perSecond, double depth, double level, long at) {
+      this.depth = depth;
+      this.level = level;
+      this.at = at;
+      rate = perSecond / 1e6;
     }
 
     boolean allows(double units, long now) {
       level = Math.min(depth, level + rate * (now - at));
       at = now;
-      return rate == 0 || level >= units;
+      return level >= units;
     }
 
     void add(double units) {
@@ -200,6 +202,7 @@
     final long deadline;
     final long aimAt;
     final Limit limit;
+    final Limit reserve;
     KeyLine line;
     Node node;
     int attempts;
@@ -215,12 +218,13 @@
     long doubtAt;
     boolean doubtKept;
 
-    Pending(Request request, ClassFacts facts, Plan plan, long seq, long now, Limit limit) {
+    Pending(Request request, ClassFacts facts, Plan plan, long seq, long now, Limit limit, Limit reserve) {
       this.request = request;
       this.rules = facts.rules;
       this.plan = plan;
       this.seq = seq;
       this.limit = limit;
+      this.reserve = reserve;
       deadline = now + request.remainingUs();
       facts.mostRemaining = Math.max(facts.mostRemaining, request.remainingUs());
       aimAt = now + facts.rules.aimUs() - (facts.mostRemaining - request.remainingUs());
@@ -646,9 +650,13 @@
     int hosts = r.hosts() > 0 ? r.hosts() : settings.hosts();
     Limit limit = null;
     if (plan.limit() > 0) {
-      limit = limits.computeIfAbsent(r.volume(), k -> new Limit(plan, hosts, launchedAt));
+      limit = limits.computeIfAbsent(r.volume(), k -> new Limit(plan.limit() / hosts, plan.limitBurst()
+          / hosts, 0, launchedAt));
     }
-    Pending p = new Pending(r, facts, plan, seq++, now, limit);
+    double depth = plan.reserve() / hosts + settings.store().mostUnits();
+    Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
+        now));
+    Pending p = new Pending(r, facts, plan, seq++, now, limit, reserve);
     pendings.put(r.id(), p);
     byDeadline.add(p);
     if (p.rules.inOrder() && r.key() != null) {
@@ -751,6 +759,11 @@
     if (pLate != qLate) {
       return qLate;
     }
+    boolean reservedA = p.reserve.allows(p.request.units(), now);
+    boolean reservedB = q.reserve.allows(q.request.units(), now);
+    if (reservedA != reservedB) {
+      return reservedA;
+    }
     double dueA = a.dueAt(p.request.units());
     double dueB = b.dueAt(q.request.units());
     if (dueA <= now != dueB <= now) {
@@ -780,6 +793,9 @@
     if (p.limit != null && !p.paid) {
       p.limit.add(-p.request.units());
     }
+    if (!p.paid && p.reserve.allows(p.request.units(), now)) {
+      p.reserve.add(-p.request.units());
+    }
     p.paid = true;
     if (n.cold()) {
       n.coldTokens -= p.request.units();
