--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -732,13 +732,10 @@
           continue;
         }
         boolean pLate = p.aimAt < now + (long) n.latency;
-        if (head == null || late && !pLate) {
+        if (head == null || late && !pLate || late == pLate && p.aimAt < head.aimAt) {
           head = p;
           late = pLate;
         }
-        if (!late) {
-          break;
-        }
       }
       if (head == null) {
         continue;
