--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -44,6 +44,10 @@
    * half of that: a best learned while all hosts kept the node full is no measure. */
   static final double AIM_PART = 0.5;
 
+  /** Part of the window that late requests may fill: they earn next to nothing and stand before what comes
+   * next. */
+  static final double LATE_PART = 0.5;
+
   /** Weight of a new latency in the mean: about the last ten answers. */
   static final double LATENCY_GAIN = 0.1;
 
@@ -712,7 +716,8 @@
         return;
       }
       Pending p = pick(n);
-      if (p == null) {
+      if (p == null || late(n, p) && (n.out >= n.bound() * LATE_PART || p.deadline < now
+          + (long) n.latency)) {
         return;
       }
       send(n, p);
@@ -731,7 +736,7 @@
           blocked = true;
           continue;
         }
-        boolean pLate = p.aimAt < now + (long) n.latency;
+        boolean pLate = late(n, p);
         if (head == null || late && !pLate || late == pLate && p.aimAt < head.aimAt) {
           head = p;
           late = pLate;
@@ -772,6 +777,11 @@
     return dueA != dueB ? dueA < dueB : p.seq < q.seq;
   }
 
+  /** Whether the answer can no longer come within the aim. */
+  private boolean late(Node n, Pending p) {
+    return p.aimAt < now + (long) n.latency;
+  }
+
   /** Whether every rule lets this request be sent to the node now. */
   private boolean ready(Node n, Pending p) {
     boolean turn = p.line == null || p.line.queue.peek() == p && (p.attempts > 0 || now >= p.line.quietUntil);
