--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -48,6 +49,9 @@
    * next. */
   static final double LATE_PART = 0.5;
 
+  /** An attempt is overdue after this multiple of the mean latency, and not before the shortest aim. */
+  static final double OVERDUE = 5;
+
   /** Weight of a new latency in the mean: about the last ten answers. */
   static final double LATENCY_GAIN = 0.1;
 
@@ -214,6 +218,8 @@
     long notBefore;
     boolean done;
     boolean streaming;
+    long sentAt;
+    boolean overdue;
     boolean paid;
 
     /** Where and when the first attempt went that is out or may have run; null while nothing may have run. */
@@ -311,6 +317,10 @@
     double best;
     int out;
     int held;
+    /** Requests with an attempt out here, oldest first. */
+    final LinkedHashSet<Pending> flight = new LinkedHashSet<>();
+
+    long answeredSentAt;
     long narrowedAt;
     int failures;
     boolean refusing;
@@ -415,6 +425,23 @@
       }
     }
 
+    /** Takes attempts out of the window's count that are far overdue while ones sent later were answered. It
+     * guards against answers lost one by one and against single requests of giant work, which would fill the
+     * window and stop a node that works; a node that answers nothing keeps its window full. Harm: a node that
+     * serves the last first gets more than its window, up to the ceiling. */
+    void writeOff() {
+      double limit = Math.max(OVERDUE * latency, shortestAim);
+      for (Pending p : flight) {
+        if (now - p.sentAt < limit) {
+          return;
+        }
+        if (!p.overdue && p.sentAt < answeredSentAt) {
+          p.overdue = true;
+          out--;
+        }
+      }
+    }
+
     Volume volume(Pending p) {
       return volumes.computeIfAbsent(p.request.volume(), k -> new Volume(k, p.plan.weight(), BUCKET_DEPTH
           * settings.store().meanUnits(), now));
@@ -710,7 +737,8 @@
     if (n.state != NodeState.ON) {
       return;
     }
-    while (n.held > 0 && n.out < n.bound()) {
+    n.writeOff();
+    while (n.held > 0 && n.out < n.bound() && n.flight.size() < WINDOW_MAX) {
       if (now < n.pausedUntil) {
         blocked = true;
         return;
@@ -813,7 +841,10 @@
     }
     p.attempts++;
     p.out++;
+    p.sentAt = now;
+    p.overdue = false;
     n.out++;
+    n.flight.add(p);
     out.accept(new Send(p.request.id(), n.id, 0));
   }
 
@@ -825,8 +856,12 @@
     Node n = nodes.get(o.node());
     p.out--;
     if (n != null) {
-      n.out--;
-      judge(n, o);
+      n.flight.remove(p);
+      n.out -= p.overdue ? 0 : 1;
+      if (o.result() == Result.OK) {
+        n.answeredSentAt = Math.max(n.answeredSentAt, p.sentAt);
+      }
+      judge(n, p, o);
     }
     if (!o.result().provesNotRun()) {
       p.doubtKept = true;
@@ -849,11 +884,15 @@
     }
   }
 
-  private void judge(Node n, Outcome o) {
+  private void judge(Node n, Pending p, Outcome o) {
     switch (o.result()) {
       case OK -> n.answered(o.tookUs());
       case FULL -> { n.narrow(0.5); n.pausedUntil = Math.max(n.pausedUntil, now + RETRY_PAUSE); }
-      case TIMEOUT, RESET -> n.silent(false);
+      case TIMEOUT, RESET -> {
+        if (p.sentAt > n.answeredSentAt) {
+          n.silent(false);
+        }
+      }
       case CONNECT_FAILED -> n.silent(true);
       default -> {}
     }
