--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -231,6 +231,11 @@
       aimAt = now + facts.rules.aimUs() - (facts.mostRemaining - request.remainingUs());
     }
 
+    /** What a unit of this request earns. */
+    double value() {
+      return rules.worth() * plan.price();
+    }
+
     /** Rule 2: whether one more attempt may go to this node now. */
     boolean repeatable(Node to, long now) {
       if (doubtNode == null || rules.effect() == Effect.SAFE) {
@@ -770,6 +775,9 @@
     if (reservedA != reservedB) {
       return reservedA;
     }
+    if (reservedA && p.value() != q.value()) {
+      return p.value() > q.value();
+    }
     double dueA = a.dueAt(p.request.units());
     double dueB = b.dueAt(q.request.units());
     if (dueA <= now != dueB <= now) {
