--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -665,8 +665,7 @@
       limit = limits.computeIfAbsent(r.volume(), k -> new Limit(plan.limit() / hosts, plan.limitBurst()
           / hosts, 0, launchedAt));
     }
-    double part = plan.reserve() / Math.sqrt(hosts);
-    double depth = part + settings.store().mostUnits();
+    double depth = plan.reserve() / hosts + settings.store().mostUnits();
     Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
         now));
     Pending p = new Pending(r, facts, plan, seq++, now, limit, reserve);
