--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -28,8 +28,13 @@
   /** Window of a fresh node, requests: a few, as the design page says. */
   static final double WINDOW_START = 4;
 
-  /** Bounds of the window, requests: one keeps a node under observation, 32 is the design's ceiling. */
-  static final double WINDOW_MIN = 1, WINDOW_MAX = 32;
+  /** Bounds of the window, requests: a quarter is one request in flight a quarter of the time, 32 the
+   * design's ceiling. */
+  static final double WINDOW_MIN = 0.25, WINDOW_MAX = 32;
+
+  /** One widening adds one over the window, but no more than this part of it, so that small ones grow
+   * gently. */
+  static final double WIDEN = 0.2;
 
   /** The window widens while mean latency stays under this multiple of the best... */
   static final double NEAR_BEST = 1.6;
@@ -358,7 +363,7 @@
     }
 
     int bound() {
-      return suspect() ? 1 : (int) window;
+      return suspect() ? 1 : (int) Math.max(1, window);
     }
 
     /** Tokens a second: the window's requests, in mean units, over the mean latency. */
@@ -380,10 +385,15 @@
       latency = latency == 0 ? l : latency + LATENCY_GAIN * (l - latency);
       best = best == 0 ? latency : Math.min(latency, best * BEST_CREEP);
       if (latency < Math.min(NEAR_BEST * best, shortestAim * AIM_PART / 2) && out >= window - 1) {
-        window = Math.min(WINDOW_MAX, window + 1 / window);
+        window = Math.min(WINDOW_MAX, window + Math.min(1 / window, WIDEN * window));
       } else if (latency > Math.min(FAR_FROM_BEST * best, shortestAim * AIM_PART)) {
         narrow(NARROW);
       }
+      if (window < 1) {
+        // Guards against hosts so many that one request each overfills the node; harm: a slot may idle
+        // briefly.
+        pausedUntil = Math.max(pausedUntil, now + (long) (latency * (1 / window - 1)));
+      }
     }
 
     void narrow(double part) {
