--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -32,8 +32,11 @@
    * design's ceiling. */
   static final double WINDOW_MIN = 0.25, WINDOW_MAX = 32;
 
-  /** One widening adds one over the window, but no more than this part of it, so that small ones grow
-   * gently. */
+  /** Only a mean latency above this part of the shortest aim takes the window under one: the node is then
+   * full of other hosts' requests, whatever this host does. */
+  static final double CROWDED = 0.75;
+
+  /** Part of a window under one that one widening adds; above one it is one over the window. */
   static final double WIDEN = 0.2;
 
   /** The window widens while mean latency stays under this multiple of the best... */
@@ -42,16 +45,14 @@
   /** ...and narrows above this one; between the two it rests, so that noise does not move it. */
   static final double FAR_FROM_BEST = 2.4;
 
-  /** Part of the window kept by one narrowing; at most one a mean latency, since older answers tell no
-   * news. */
+  /** Part of the window kept by one narrowing, of which there is at most one a mean latency. */
   static final double NARROW = 0.85;
 
   /** The window also narrows when mean latency passes this part of the shortest aim, and widens only under
    * half of that: a best learned while all hosts kept the node full is no measure. */
   static final double AIM_PART = 0.5;
 
-  /** Part of the window that late requests may fill: they earn next to nothing and stand before what comes
-   * next. */
+  /** Part of the window that late requests may fill: they earn little and stand before what comes. */
   static final double LATE_PART = 0.5;
 
   /** An attempt is overdue after this multiple of the mean latency, and not before the shortest aim. */
@@ -63,8 +64,7 @@
   /** Growth of the best latency per answer, so that a best from better days is forgotten in some hundreds. */
   static final double BEST_CREEP = 1.002;
 
-  /** Latency taken for a node that has not answered yet, us: a usual disk request; only sets the first
-   * rate. */
+  /** Latency taken for a node that has not answered yet, us: a usual disk request. */
   static final double LATENCY_GUESS = 40_000;
 
   /** Depth of a volume's bucket, in mean requests: the paper's three tokens. */
@@ -73,8 +73,7 @@
   /** Part of a quiet volume's record kept each period: half is gone after 3.4 s. */
   static final double RECORD_KEEP = 0.98;
 
-  /** A volume unheard of for this long is forgotten at a node, us: longer than surges and shifts of hosts
-   * last. */
+  /** A volume unheard of for this long is forgotten at a node, us: longer than surges last. */
   static final long FORGET = 60_000_000;
 
   /** Pause after an attempt that a node turned away full or failed, us: a few service times. */
@@ -384,8 +383,11 @@
       double l = Math.max(1, tookUs);
       latency = latency == 0 ? l : latency + LATENCY_GAIN * (l - latency);
       best = best == 0 ? latency : Math.min(latency, best * BEST_CREEP);
-      if (latency < Math.min(NEAR_BEST * best, shortestAim * AIM_PART / 2) && out >= window - 1) {
-        window = Math.min(WINDOW_MAX, window + Math.min(1 / window, WIDEN * window));
+      boolean near = latency < (window < 1
+          ? shortestAim * AIM_PART
+          : Math.min(NEAR_BEST * best, shortestAim * AIM_PART / 2));
+      if (near && out >= window - 1) {
+        window = Math.min(WINDOW_MAX, window + (window < 1 ? WIDEN * window : 1 / window));
       } else if (latency > Math.min(FAR_FROM_BEST * best, shortestAim * AIM_PART)) {
         narrow(NARROW);
       }
@@ -398,7 +400,8 @@
 
     void narrow(double part) {
       if (now - narrowedAt >= (latency > 0 ? latency : LATENCY_GUESS)) {
-        window = Math.max(WINDOW_MIN, window * part);
+        double least = latency > CROWDED * shortestAim ? WINDOW_MIN : Math.min(1, window);
+        window = Math.max(least, window * part);
         narrowedAt = now;
       }
     }
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -236,6 +236,26 @@
     assertEquals(List.of(), a.breaches);
   }
 
+  @Test
+  void anOverfullNodeGetsLessThanOneRequestAtATime() {
+    // From incident iadfefb: many hosts with one request each kept nodes above the shortest aim.
+    RuleAudit a = audit();
+    for (int i = 1; i <= 100; i++) {
+      a.request(Worlds.request(i, "read", "free", null, i % 20, 2, 0));
+      a.advance(a.now + 260_000);
+      for (RuleAudit.Attempt t : List.copyOf(a.out)) {
+        a.finish(t, Result.OK);
+      }
+    }
+    long before = sends(a);
+    for (int i = 101; i <= 110; i++) {
+      a.request(Worlds.request(i, "read", "free", null, i % 20, 2, 0));
+    }
+    a.advance(a.now + 20_000);
+    assertEquals(before, sends(a));
+    assertEquals(List.of(), a.breaches);
+  }
+
   @Test
   void theListIsAskedForWhereItMustBeAndAgainAfterAFailure() {
     Settings s = Worlds.settings(Worlds.classes(), Worlds.rules(), true);
