--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -53,7 +53,7 @@
   static final double AIM_PART = 0.5;
 
   /** Part of the window that late requests may fill: they earn little and stand before what comes. */
-  static final double LATE_PART = 0.25;
+  static final double LATE_PART = 0.5;
 
   /** An attempt is overdue after this multiple of the mean latency, and not before the shortest aim. */
   static final double OVERDUE = 5;
