--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -270,7 +270,7 @@
     final TreeMap<Long, Pending> held = new TreeMap<>();
     long filledAt, lastAsked;
     boolean known;
-    double tokens, rate, asked, waiting, record;
+    double tokens, rate, asked, record;
     double p, u, d, alpha, lent, df, lastAlpha;
 
     Volume(long key, double weight, double depth, long now) {
@@ -473,8 +473,6 @@
         v.known = true;
         v.rate = v.alpha / PERIOD;
         v.asked = 0;
-        v.waiting = 0;
-        v.held.values().forEach(p -> v.waiting += p.request.units());
       }
     }
   }
@@ -489,7 +487,7 @@
     for (Volume v : active) {
       v.p = sum > 0 ? v.weight / sum : 1.0 / active.size();
       v.alpha = tokens * v.p;
-      v.d = v.asked + v.waiting;
+      v.d = v.asked;
     }
   }
 
