--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -477,8 +477,7 @@
     }
   }
 
-  /** Equations 1 and 2: the period's tokens by weight. Demand is what was asked and what still waits from
-   * before. */
+  /** Equations 1 and 2: the period's tokens by weight. Demand is what was asked in the period. */
   static void initialAllocation(List<Volume> active, double tokens) {
     double sum = 0;
     for (Volume v : active) {
