--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.PriorityQueue;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -28,43 +29,38 @@
   /** Window of a fresh node, requests: a few, as the design page says. */
   static final double WINDOW_START = 4;
 
-  /** Bounds of the window, requests: a quarter is one request in flight a quarter of the time, 32 the
-   * design's ceiling. */
-  static final double WINDOW_MIN = 0.25, WINDOW_MAX = 32;
+  /** The window's ceiling, requests, from the design page. */
+  static final double WINDOW_MAX = 32;
 
-  /** Only a mean latency above this part of the shortest aim takes the window under one: the node is then
-   * full of other hosts' requests, whatever this host does. */
-  static final double CROWDED = 0.75;
-
-  /** Part of a window under one that one widening adds; above one it is one over the window. */
-  static final double WIDEN = 0.2;
-
-  /** The window widens while mean latency stays under this multiple of the best... */
-  static final double NEAR_BEST = 1.6;
+  /** The window widens while latency stays under this multiple of the usual one... */
+  static final double NEAR_USUAL = 1.6;
 
   /** ...and narrows above this one; between the two it rests, so that noise does not move it. */
-  static final double FAR_FROM_BEST = 2.4;
+  static final double FAR_FROM_USUAL = 2.4;
 
   /** Part of the window kept by one narrowing, of which there is at most one a mean latency. */
   static final double NARROW = 0.85;
 
-  /** The window also narrows when mean latency passes this part of the shortest aim, and widens only under
-   * half of that: a best learned while all hosts kept the node full is no measure. */
+  /** The window also narrows when latency passes this part of the shortest aim, and widens only under half of
+   * that: what is usual was perhaps learned while all hosts kept the nodes full. */
   static final double AIM_PART = 0.5;
 
-  /** Part of the window that late requests may fill: they earn little and stand before what comes. */
-  static final double LATE_PART = 0.5;
+  /** How long what a node's last answer told stays true, us: the estimate fades so toward the usual latency.
+   * A host that sends a node one request in seconds still knows that the queue was long; surges last
+   * longer. */
+  static final double FADE = 2_000_000;
 
-  /** An attempt is overdue after this multiple of the mean latency, and not before the shortest aim. */
-  static final double OVERDUE = 5;
+  /** Share of answers faster than the usual latency: what a node does that has next to no queue. */
+  static final double USUAL_DOWN = 0.97, USUAL_UP = 1.01;
 
-  /** Weight of a new latency in the mean: about the last ten answers. */
-  static final double LATENCY_GAIN = 0.1;
+  /** What no answer, or a node that turns away, says at most of its latency, in shortest aims: enough to hold
+   * all that is due soon, yet gone after one or two times FADE, since answers are also lost one by one. */
+  static final double UNSEEN = 2;
 
-  /** Growth of the best latency per answer, so that a best from better days is forgotten in some hundreds. */
-  static final double BEST_CREEP = 1.002;
+  /** Least weight of a new latency in the estimate: about the last ten answers of a node often used. */
+  static final double LATENCY_GAIN = 0.1;
 
-  /** Latency taken for a node that has not answered yet, us: a usual disk request. */
+  /** Latency taken as usual before any answer, us: a disk request. */
   static final double LATENCY_GUESS = 40_000;
 
   /** Depth of a volume's bucket, in mean requests: the paper's three tokens. */
@@ -79,11 +75,8 @@
   /** Pause after an attempt that a node turned away full or failed, us: a few service times. */
   static final long RETRY_PAUSE = 30_000;
 
-  /** First and longest pause before a node that refused connections or went silent is tried again, us. */
-  static final long DOWN_PAUSE = 100_000, DOWN_PAUSE_MAX = 1_000_000;
-
-  /** Failures in a row without an answer that make a node suspect. */
-  static final int SUSPECT_AFTER = 2;
+  /** Refused connections in a row that tell of a node that is down, rather than out of connections. */
+  static final int DOWN_AFTER = 2;
 
   /** How soon a held request that a guard stops is looked at again, us. */
   static final long POLL = 10_000;
@@ -105,9 +98,12 @@
   private final TreeMap<Long, Pending> unplaced = new TreeMap<>();
   private final PriorityQueue<Pending> byDeadline = new PriorityQueue<>(Comparator.<Pending>comparingLong(
       p -> p.deadline).thenComparingLong(p -> p.seq));
+  private final SplittableRandom random;
   private final Budget budget;
   private final double shortestAim;
   private Consumer<Action> out;
+  private final double mostValue;
+  private double usual = LATENCY_GUESS;
   private long now, seq, periodEnd;
   private long launchedAt = Long.MIN_VALUE;
   private long timerAt = Long.MAX_VALUE, listRetryAt = Long.MAX_VALUE;
@@ -117,7 +113,10 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     settings.classes().forEach(c -> classes.put(c.name(), new ClassFacts(c)));
     settings.plans().forEach(p -> plans.put(p.name(), p));
+    random = new SplittableRandom(settings.seed());
     budget = new Budget(settings.rules());
+    mostValue = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElseThrow() * settings
+        .plans().stream().mapToDouble(Plan::price).max().orElseThrow();
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
   }
 
@@ -208,8 +207,11 @@
     final RequestClass rules;
     final Plan plan;
     final long seq;
+    final long cameAt;
     final long deadline;
     final long aimAt;
+    /** Even over 0 to 1, from the instance's seed. */
+    final double chance;
     final Limit limit;
     final Limit reserve;
     KeyLine line;
@@ -223,13 +225,16 @@
     long doubtAt;
     boolean doubtKept;
 
-    Pending(Request request, ClassFacts facts, Plan plan, long seq, long now, Limit limit, Limit reserve) {
+    Pending(Request request, ClassFacts facts, Plan plan, long seq, long now, double chance, Limit limit,
+        Limit reserve) {
       this.request = request;
       this.rules = facts.rules;
       this.plan = plan;
       this.seq = seq;
       this.limit = limit;
       this.reserve = reserve;
+      this.chance = chance;
+      cameAt = now;
       deadline = now + request.remainingUs();
       facts.mostRemaining = Math.max(facts.mostRemaining, request.remainingUs());
       aimAt = now + facts.rules.aimUs() - (facts.mostRemaining - request.remainingUs());
@@ -306,10 +311,9 @@
     /** When it came up, as this host believes and as the list said last; the first may be later. */
     long born, listedBorn;
     double window = WINDOW_START;
-    double latency, best, coldTokens;
-    int out, held, failures;
-    boolean refusing;
-    long narrowedAt, pausedUntil, coldAt, answeredSentAt;
+    double seen = usual;
+    int out, held, refused;
+    long narrowedAt, answeredSentAt, seenAt, sampledAt;
     /** Requests with an attempt out here, oldest first. */
     final LinkedHashSet<Pending> flight = new LinkedHashSet<>();
 
@@ -320,118 +324,108 @@
     }
 
     /** A new start: what the last process could do says nothing of this one. */
-    void restart(long bornUs, double tokens) {
+    void restart(long bornUs) {
       born = bornUs;
       window = WINDOW_START;
-      latency = 0;
-      best = 0;
-      failures = 0;
-      pausedUntil = 0;
-      refusing = false;
-      coldTokens = tokens;
-      coldAt = now;
+      seen = usual;
+      refused = 0;
     }
 
     boolean cold() {
-      return born > 0 && settings.store().coldUnits() > 0 && now < born + settings.rules().coldUs();
-    }
-
-    boolean suspect() {
-      return failures >= SUSPECT_AFTER;
+      return born > 0 && now < born + settings.rules().coldUs();
     }
 
-    /** Rule 4: this host's even part of what a cold node always bears, risen with its age as the rules
-     * promise. Half is depth and half fills over the rule's window, so that no window holds more than the
-     * whole, and a host that launches starts without the depth, so that no restart can spend it twice. */
-    boolean bears(double units) {
+    /** Rule 4: of what is inside its reserve and first sent here, a cold node gets the part that the rules
+     * promise of its capacity at the age it had when the request came. Chance decides for each request, so
+     * hosts need not agree on parts, however many they are, and no restart gains anything: the node gets that
+     * part of its usual traffic. Nothing that waited for the node to come back goes at once. */
+    boolean bears(Pending p) {
       if (!cold()) {
         return true;
       }
-      double part = coldPart();
-      coldTokens = Math.min(part, coldTokens + part * (now - coldAt) / Math.max(1, settings.rules()
-          .fallUs()));
-      coldAt = now;
-      return coldTokens >= units;
-    }
-
-    double coldPart() {
       Rules r = settings.rules();
-      double age = Math.min(1, (double) Math.max(0, now - born) / Math.max(1, r.coldUs()));
-      double from = Math.max(0.01, r.coldFrom());
-      return settings.store().coldUnits() / settings.hosts() / 2 * (from + (1 - from) * age) / from;
+      double age = Math.max(0, Math.min(1, (double) (p.cameAt - born) / r.coldUs()));
+      return p.attempts == 0 && p.chance < r.coldFrom() + (1 - r.coldFrom()) * age && !late(this, p)
+          && p.reserve.allows(p.request.units(), now);
     }
 
     int bound() {
-      return suspect() ? 1 : (int) Math.max(1, window);
+      return (int) window;
     }
 
     /** Tokens a second: the window's requests, in mean units, over the mean latency. */
     double tokenRate() {
-      double l = latency > 0 ? latency : LATENCY_GUESS;
-      return window * settings.store().meanUnits() / l * 1e6;
+      return window * settings.store().meanUnits() / expected() * 1e6;
     }
 
+    /** Latency of a request sent now: what was seen last, fading toward the usual with time, or how long one
+     * is out already while nothing sent later was answered. */
+    double expected() {
+      double faded = usual + (seen - usual) * Math.exp((double) (seenAt - now) / FADE);
+      for (Pending p : flight) {
+        if (p.sentAt > answeredSentAt && !p.overdue) {
+          return Math.max(faded, now - p.sentAt);
+        }
+      }
+      return faded;
+    }
+
+    /** A sample counts the more the older the one before: near alone for a host that sends one in seconds. */
+    void see(double sample) {
+      double faded = expected();
+      seen = faded + Math.max(LATENCY_GAIN, 1 - Math.exp((double) (sampledAt - now) / FADE)) * (sample
+          - faded);
+      seenAt = now;
+      sampledAt = now;
+    }
+
+    /** No answer, no connection or a full queue: the wait is long, how long the next answer tells. */
+    void seeNone() {
+      seen = Math.max(expected(), UNSEEN * shortestAim);
+      seenAt = now;
+      sampledAt = now - FORGET;
+      narrow(0.5);
+    }
+
+    /** An answer after refused connections guards against a node back from a crash before the list tells of
+     * it, also against a cut link that heals. Harm: a node merely out of connections gets less for a
+     * while. */
     void answered(long tookUs) {
-      failures = 0;
-      if (refusing) {
-        // Guards against a node back from a crash before the list tells of it; also against a cut
-        // link that
-        // heals. It could harm a node that was merely out of connections: that one is slow for a
-        // while.
-        restart(now, 0);
-      }
-      double l = Math.max(1, tookUs);
-      latency = latency == 0 ? l : latency + LATENCY_GAIN * (l - latency);
-      best = best == 0 ? latency : Math.min(latency, best * BEST_CREEP);
-      boolean near = latency < (window < 1
-          ? shortestAim * AIM_PART
-          : Math.min(NEAR_BEST * best, shortestAim * AIM_PART / 2));
-      if (near && out >= window - 1) {
-        window = Math.min(WINDOW_MAX, window + (window < 1 ? WIDEN * window : 1 / window));
-      } else if (latency > Math.min(FAR_FROM_BEST * best, shortestAim * AIM_PART)) {
+      see(Math.max(1, tookUs));
+      usual *= tookUs < usual ? USUAL_DOWN : USUAL_UP;
+      if (refused >= DOWN_AFTER) {
+        restart(now);
+      }
+      refused = 0;
+      if (seen < Math.min(NEAR_USUAL * usual, shortestAim * AIM_PART / 2)) {
+        window = Math.min(WINDOW_MAX, out >= window - 1 ? window + 1 / window : window);
+      } else if (seen > Math.min(FAR_FROM_USUAL * usual, shortestAim * AIM_PART)) {
         narrow(NARROW);
       }
-      if (window < 1) {
-        // Guards against hosts so many that one request each overfills the node; harm: a slot may idle
-        // briefly.
-        pausedUntil = Math.max(pausedUntil, now + (long) (latency * (1 / window - 1)));
-      }
     }
 
     void narrow(double part) {
-      if (now - narrowedAt >= (latency > 0 ? latency : LATENCY_GUESS)) {
-        double least = latency > CROWDED * shortestAim ? WINDOW_MIN : Math.min(1, window);
-        window = Math.max(least, window * part);
+      if (now - narrowedAt >= seen) {
+        window = Math.max(1, window * part);
         narrowedAt = now;
       }
     }
 
-    /** A time-out, a reset or a refused connection: after two in a row one request at a time, at growing
-     * pauses. It guards against silent, hanging and crashed nodes alike; harm: a node with two unlucky
-     * requests is slow to return, by one pause. */
-    void silent(boolean refused) {
-      failures++;
-      refusing |= refused && suspect();
-      narrow(0.5);
-      if (suspect()) {
-        long pause = DOWN_PAUSE << Math.min(10, failures - SUSPECT_AFTER);
-        pausedUntil = now + Math.min(DOWN_PAUSE_MAX, pause);
-      }
-    }
-
-    /** Takes attempts out of the window's count that are far overdue while ones sent later were answered. It
-     * guards against answers lost one by one and against single requests of giant work, which would fill the
-     * window and stop a node that works; a node that answers nothing keeps its window full. Harm: a node that
-     * serves the last first gets more than its window, up to the ceiling. */
+    /** Takes attempts out of the window's count that are far overdue. It guards against answers lost one by
+     * one and single requests of giant work, which would fill the window and stop a node that works; where
+     * nothing sent later was answered, against a node that hangs. Harm: one that serves the last first gets
+     * more than its window, up to the ceiling. */
     void writeOff() {
-      double limit = Math.max(OVERDUE * latency, shortestAim);
       for (Pending p : flight) {
-        if (now - p.sentAt < limit) {
+        if (now - p.sentAt < UNSEEN * shortestAim) {
           return;
         }
-        if (!p.overdue && p.sentAt < answeredSentAt) {
+        if (!p.overdue) {
           p.overdue = true;
           out--;
+          if (p.sentAt > answeredSentAt) {
+            seeNone();
+          }
         }
       }
     }
@@ -632,7 +626,6 @@
   }
 
   private void members(NodeList list) {
-    boolean first = nodes.isEmpty();
     Map<Long, Listed> named = new HashMap<>();
     for (Listed l : list.nodes()) {
       named.put(l.node(), l);
@@ -641,8 +634,7 @@
       n.listedBorn = l.bornUs();
       n.state = l.state();
       if (fresh) {
-        n.restart(l.bornUs(), 0);
-        n.coldTokens = first ? 0 : n.coldPart();
+        n.restart(l.bornUs());
       }
     }
     for (Node n : nodes.values()) {
@@ -678,7 +670,7 @@
     double depth = plan.reserve() / hosts + settings.store().mostUnits();
     Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
         now));
-    Pending p = new Pending(r, facts, plan, seq++, now, limit, reserve);
+    Pending p = new Pending(r, facts, plan, seq++, now, random.nextDouble(), limit, reserve);
     pendings.put(r.id(), p);
     byDeadline.add(p);
     if (p.rules.inOrder() && r.key() != null) {
@@ -716,11 +708,10 @@
     }
   }
 
-  /** Expected time to serve one more, us; cold and suspect nodes come last. */
+  /** Expected time to serve one more, us; cold nodes come last. */
   private double burden(Node n) {
-    double latency = n.latency > 0 ? n.latency : LATENCY_GUESS;
-    double time = (n.out + n.held + 1) * latency / n.window;
-    return n.suspect() ? time + 1e9 : n.cold() ? time + 1e8 : time;
+    double time = (n.out + n.held + 1) * n.expected() / n.window;
+    return n.cold() ? time + 1e8 : time;
   }
 
   /** Sends while the window has room: first what is due, soonest first, then the heaviest that waits. */
@@ -730,13 +721,9 @@
     }
     n.writeOff();
     while (n.held > 0 && n.out < n.bound() && n.flight.size() < WINDOW_MAX) {
-      if (now < n.pausedUntil) {
-        blocked = true;
-        return;
-      }
       Pending p = pick(n);
-      if (p == null || late(n, p) && (n.out >= n.bound() * LATE_PART || p.deadline < now
-          + (long) n.latency)) {
+      if (p == null || !worthwhile(n, p)) {
+        blocked |= p != null;
         return;
       }
       send(n, p);
@@ -801,14 +788,26 @@
 
   /** Whether the answer can no longer come within the aim. */
   private boolean late(Node n, Pending p) {
-    return p.aimAt < now + (long) n.latency;
+    return p.aimAt < now + (long) n.expected();
+  }
+
+  /** Whether a request is worth its place in the node's queue, which hosts share unseen: the longer the
+   * latency to expect, the more a unit must earn, up to the shortest aim; never one that cannot come before
+   * its client leaves. */
+  private boolean worthwhile(Node n, Pending p) {
+    double value = p.value() / mostValue;
+    boolean late = late(n, p);
+    value *= p.paid || p.reserve.allows(p.request.units(), now) ? 1 : settings.store().shareWorth();
+    value *= late ? p.rules.lateWorth() : 1;
+    double wait = n.expected();
+    return wait <= usual + Math.sqrt(value) * Math.max(0, shortestAim - usual) && now + wait < p.deadline;
   }
 
   /** Whether every rule lets this request be sent to the node now. */
   private boolean ready(Node n, Pending p) {
     boolean turn = p.line == null || p.line.queue.peek() == p && (p.attempts > 0 || now >= p.line.quietUntil);
     return turn && now >= p.notBefore && p.repeatable(n, now) && (p.attempts == 0 || budget.allows(now)) && n
-        .bears(p.request.units()) && (p.limit == null || p.paid || p.limit.allows(p.request.units(), now));
+        .bears(p) && (p.limit == null || p.paid || p.limit.allows(p.request.units(), now));
   }
 
   private void send(Node n, Pending p) {
@@ -826,9 +825,6 @@
       p.reserve.add(-p.request.units());
     }
     p.paid = true;
-    if (n.cold()) {
-      n.coldTokens -= p.request.units();
-    }
     if (p.doubtNode == null) {
       p.doubtNode = n;
       p.doubtAt = now;
@@ -881,13 +877,13 @@
   private void judge(Node n, Pending p, Outcome o) {
     switch (o.result()) {
       case OK -> n.answered(o.tookUs());
-      case FULL -> { n.narrow(0.5); n.pausedUntil = Math.max(n.pausedUntil, now + RETRY_PAUSE); }
+      case FULL -> n.seeNone();
+      case CONNECT_FAILED -> { n.seeNone(); n.refused++; }
       case TIMEOUT, RESET -> {
-        if (p.sentAt > n.answeredSentAt) {
-          n.silent(false);
+        if (p.sentAt > n.answeredSentAt && !p.overdue) {
+          n.seeNone();
         }
       }
-      case CONNECT_FAILED -> n.silent(true);
       default -> {}
     }
   }
