--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -45,10 +45,10 @@
    * that: what is usual was perhaps learned while all hosts kept the nodes full. */
   static final double AIM_PART = 0.5;
 
-  /** How long what a node's last answer told stays true, us: the estimate fades so toward the usual latency.
-   * A host that sends a node one request in seconds still knows that the queue was long; surges last
-   * longer. */
-  static final double FADE = 2_000_000;
+  /** The latency estimate of a node fades toward the usual one in so many mean gaps between this host's
+   * requests for it, and in these bounds, us: hosts that make up much of a node's queue look again soon, one
+   * of a hundred only now and then, so that all together do not fill it while they look. */
+  static final double FADE_ASKS = 6, FADE_LEAST = 500_000, FADE_MOST = 2_000_000;
 
   /** Share of answers faster than the usual latency: what a node does that has next to no queue. */
   static final double USUAL_DOWN = 0.97, USUAL_UP = 1.01;
@@ -311,7 +311,8 @@
     /** When it came up, as this host believes and as the list said last; the first may be later. */
     long born, listedBorn;
     double window = WINDOW_START;
-    double seen = usual;
+    double seen = usual, gap = FADE_MOST;
+    long askedAt;
     int out, held, refused;
     long narrowedAt, answeredSentAt, seenAt, sampledAt;
     /** Requests with an attempt out here, oldest first. */
@@ -361,7 +362,7 @@
     /** Latency of a request sent now: what was seen last, fading toward the usual with time, or how long one
      * is out already while nothing sent later was answered. */
     double expected() {
-      double faded = usual + (seen - usual) * Math.exp((double) (seenAt - now) / FADE);
+      double faded = usual + (seen - usual) * Math.exp((double) (seenAt - now) / fade());
       for (Pending p : flight) {
         if (p.sentAt > answeredSentAt && !p.overdue) {
           return Math.max(faded, now - p.sentAt);
@@ -370,10 +371,14 @@
       return faded;
     }
 
+    double fade() {
+      return Math.max(FADE_LEAST, Math.min(FADE_MOST, FADE_ASKS * gap));
+    }
+
     /** A sample counts the more the older the one before: near alone for a host that sends one in seconds. */
     void see(double sample) {
       double faded = expected();
-      seen = faded + Math.max(LATENCY_GAIN, 1 - Math.exp((double) (sampledAt - now) / FADE)) * (sample
+      seen = faded + Math.max(LATENCY_GAIN, 1 - Math.exp((double) (sampledAt - now) / fade())) * (sample
           - faded);
       seenAt = now;
       sampledAt = now;
@@ -681,6 +686,8 @@
     if (p.node != null) {
       Volume v = p.node.volume(p);
       v.asked += r.units();
+      p.node.gap += LATENCY_GAIN * (Math.min(FADE_MOST, now - p.node.askedAt) - p.node.gap);
+      p.node.askedAt = now;
       v.lastAsked = now;
     }
   }
@@ -800,7 +807,7 @@
     value *= p.paid || p.reserve.allows(p.request.units(), now) ? 1 : settings.store().shareWorth();
     value *= late ? p.rules.lateWorth() : 1;
     double wait = n.expected();
-    return wait <= usual + Math.sqrt(value) * Math.max(0, shortestAim - usual) && now + wait < p.deadline;
+    return wait <= usual + value * Math.max(0, shortestAim - usual) && now + wait < p.deadline;
   }
 
   /** Whether every rule lets this request be sent to the node now. */
