--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -240,11 +240,6 @@
       aimAt = now + facts.rules.aimUs() - (facts.mostRemaining - request.remainingUs());
     }
 
-    /** What a unit of this request earns. */
-    double value() {
-      return rules.worth() * plan.price();
-    }
-
     /** Rule 2: whether one more attempt may go to this node now. */
     boolean repeatable(Node to, long now) {
       if (doubtNode == null || rules.effect() == Effect.SAFE) {
@@ -740,47 +735,30 @@
   private Pending pick(Node n) {
     Pending choice = null;
     Volume of = null;
-    boolean choiceLate = false;
     for (Volume v : n.volumes.values()) {
-      Pending head = null;
-      boolean late = false;
+      v.fill(now);
       for (Pending p : v.held.values()) {
         if (!ready(n, p)) {
           blocked = true;
-          continue;
+        } else if (choice == null || before(n, v, p, of, choice)) {
+          choice = p;
+          of = v;
         }
-        boolean pLate = late(n, p);
-        if (head == null || late && !pLate || late == pLate && p.aimAt < head.aimAt) {
-          head = p;
-          late = pLate;
-        }
-      }
-      if (head == null) {
-        continue;
-      }
-      v.fill(now);
-      if (choice == null || before(v, head, late, of, choice, choiceLate)) {
-        choice = head;
-        of = v;
-        choiceLate = late;
       }
     }
     return choice;
   }
 
-  /** In time before late; then due before not due; the due by due time, the others by weight; then by
-   * arrival. */
-  private boolean before(Volume a, Pending p, boolean pLate, Volume b, Pending q, boolean qLate) {
-    if (pLate != qLate) {
-      return qLate;
-    }
-    boolean reservedA = p.reserve.allows(p.request.units(), now);
-    boolean reservedB = q.reserve.allows(q.request.units(), now);
-    if (reservedA != reservedB) {
-      return reservedA;
+  /** What earns most a unit first; then due before not due; the due by due time, the others by weight; within
+   * a volume the nearest aim; then by arrival. */
+  private boolean before(Node n, Volume a, Pending p, Volume b, Pending q) {
+    double earnsP = earns(n, p);
+    double earnsQ = earns(n, q);
+    if (earnsP != earnsQ) {
+      return earnsP > earnsQ;
     }
-    if (reservedA && p.value() != q.value()) {
-      return p.value() > q.value();
+    if (a == b) {
+      return p.aimAt != q.aimAt ? p.aimAt < q.aimAt : p.seq < q.seq;
     }
     double dueA = a.dueAt(p.request.units());
     double dueB = b.dueAt(q.request.units());
@@ -798,16 +776,18 @@
     return p.aimAt < now + (long) n.expected();
   }
 
+  /** What a unit of a request earns if it leaves now, as a part of the most that any can. */
+  private double earns(Node n, Pending p) {
+    double reserved = p.paid || p.reserve.allows(p.request.units(), now) ? 1 : settings.store().shareWorth();
+    return p.rules.worth() * p.plan.price() / mostValue * reserved * (late(n, p) ? p.rules.lateWorth() : 1);
+  }
+
   /** Whether a request is worth its place in the node's queue, which hosts share unseen: the longer the
    * latency to expect, the more a unit must earn, up to the shortest aim; never one that cannot come before
    * its client leaves. */
   private boolean worthwhile(Node n, Pending p) {
-    double value = p.value() / mostValue;
-    boolean late = late(n, p);
-    value *= p.paid || p.reserve.allows(p.request.units(), now) ? 1 : settings.store().shareWorth();
-    value *= late ? p.rules.lateWorth() : 1;
     double wait = n.expected();
-    return wait <= usual + value * Math.max(0, shortestAim - usual) && now + wait < p.deadline;
+    return wait <= usual + earns(n, p) * Math.max(0, shortestAim - usual) && now + wait < p.deadline;
   }
 
   /** Whether every rule lets this request be sent to the node now. */
