--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -41,10 +41,6 @@
   /** Part of the window kept by one narrowing, of which there is at most one a mean latency. */
   static final double NARROW = 0.85;
 
-  /** The window also narrows when latency passes this part of the shortest aim, and widens only under half of
-   * that: what is usual was perhaps learned while all hosts kept the nodes full. */
-  static final double AIM_PART = 0.5;
-
   /** The latency estimate of a node fades toward the usual one in so many mean gaps between this host's
    * requests for it, and in these bounds, us: hosts that make up much of a node's queue look again soon, one
    * of a hundred only now and then, so that all together do not fill it while they look. */
@@ -57,6 +53,9 @@
    * all that is due soon, yet gone after one or two times FADE, since answers are also lost one by one. */
   static final double UNSEEN = 2;
 
+  /** Weight of one more silence in what they mean. */
+  static final double LOST_GAIN = 0.2;
+
   /** Least weight of a new latency in the estimate: about the last ten answers of a node often used. */
   static final double LATENCY_GAIN = 0.1;
 
@@ -104,6 +103,8 @@
   private Consumer<Action> out;
   private final double mostValue;
   private double usual = LATENCY_GUESS;
+  /** Part of silences, of any node, that only lost an answer: the next one from there came soon. */
+  private double lost;
   private long now, seq, periodEnd;
   private long launchedAt = Long.MIN_VALUE;
   private long timerAt = Long.MAX_VALUE, listRetryAt = Long.MAX_VALUE;
@@ -308,6 +309,7 @@
     double window = WINDOW_START;
     double seen = usual, gap = FADE_MOST;
     long askedAt;
+    boolean silent;
     int out, held, refused;
     long narrowedAt, answeredSentAt, seenAt, sampledAt;
     /** Requests with an attempt out here, oldest first. */
@@ -380,26 +382,42 @@
     }
 
     /** No answer, no connection or a full queue: the wait is long, how long the next answer tells. */
-    void seeNone() {
-      seen = Math.max(expected(), UNSEEN * shortestAim);
+    void seeNone(double latency) {
+      seen = Math.max(expected(), latency);
       seenAt = now;
       sampledAt = now - FORGET;
       narrow(0.5);
     }
 
+    void noAnswer() {
+      silent = true;
+      seeNone(usual + (1 - lost) * (UNSEEN * shortestAim - usual));
+    }
+
+    /** Learns from what followed a silence, on any node, whether silences mean long queues and dead nodes or
+     * that answers get lost; the latter hold nothing back. Harm: once lost, a dead node is tried more
+     * often. */
+    void silenceMeant(boolean onlyLost) {
+      silent = false;
+      lost += LOST_GAIN * ((onlyLost ? 1 : 0) - lost);
+    }
+
     /** An answer after refused connections guards against a node back from a crash before the list tells of
      * it, also against a cut link that heals. Harm: a node merely out of connections gets less for a
      * while. */
     void answered(long tookUs) {
+      if (silent) {
+        silenceMeant(tookUs < shortestAim / 2);
+      }
       see(Math.max(1, tookUs));
       usual *= tookUs < usual ? USUAL_DOWN : USUAL_UP;
       if (refused >= DOWN_AFTER) {
         restart(now);
       }
       refused = 0;
-      if (seen < Math.min(NEAR_USUAL * usual, shortestAim * AIM_PART / 2)) {
+      if (seen < NEAR_USUAL * usual) {
         window = Math.min(WINDOW_MAX, out >= window - 1 ? window + 1 / window : window);
-      } else if (seen > Math.min(FAR_FROM_USUAL * usual, shortestAim * AIM_PART)) {
+      } else if (seen > FAR_FROM_USUAL * usual) {
         narrow(NARROW);
       }
     }
@@ -424,7 +442,9 @@
           p.overdue = true;
           out--;
           if (p.sentAt > answeredSentAt) {
-            seeNone();
+            noAnswer();
+          } else {
+            silenceMeant(true);
           }
         }
       }
@@ -595,6 +615,7 @@
       out.accept(new Watch());
     }
     if (now >= periodEnd) {
+      nodes.values().forEach(Node::writeOff);
       nodes.values().forEach(Node::allocate);
       periodEnd = now + PERIOD;
     }
@@ -721,7 +742,6 @@
     if (n.state != NodeState.ON) {
       return;
     }
-    n.writeOff();
     while (n.held > 0 && n.out < n.bound() && n.flight.size() < WINDOW_MAX) {
       Pending p = pick(n);
       if (p == null || !worthwhile(n, p)) {
@@ -864,11 +884,11 @@
   private void judge(Node n, Pending p, Outcome o) {
     switch (o.result()) {
       case OK -> n.answered(o.tookUs());
-      case FULL -> n.seeNone();
-      case CONNECT_FAILED -> { n.seeNone(); n.refused++; }
+      case FULL -> n.seeNone(UNSEEN * shortestAim);
+      case CONNECT_FAILED -> { n.seeNone(UNSEEN * shortestAim); n.refused++; }
       case TIMEOUT, RESET -> {
         if (p.sentAt > n.answeredSentAt && !p.overdue) {
-          n.seeNone();
+          n.noAnswer();
         }
       }
       default -> {}
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -271,6 +271,29 @@
     }
   }
 
+  @Test
+  void silenceBeforeQuickAnswersSoonHoldsNothing() {
+    // From the day of lost answers on the grown counters: each lost answer held its node for two seconds.
+    RuleAudit a = audit();
+    for (int i = 1; i <= 24; i++) {
+      a.request(Worlds.request(i, "read", "free", null, i, 2, 0));
+      a.advance(a.now + 20_000);
+      for (RuleAudit.Attempt t : List.copyOf(a.out)) {
+        if (t.request() == i && i % 2 == 0) {
+          a.finish(t, Result.OK);
+        }
+      }
+      a.advance(a.now + 3_000_000);
+    }
+    a.request(Worlds.request(101, "read", "free", null, 101, 2, 0));
+    a.advance(a.now + 600_000);
+    long before = sends(a);
+    a.request(Worlds.request(102, "read", "free", null, 102, 2, 0));
+    a.advance(a.now + 2_000);
+    assertEquals(before + 1, sends(a), "the silence of 101 says little here");
+    assertEquals(List.of(), a.breaches);
+  }
+
   @Test
   void theListIsAskedForWhereItMustBeAndAgainAfterAFailure() {
     Settings s = Worlds.settings(Worlds.classes(), Worlds.rules(), true);
