--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -333,18 +333,18 @@
       return born > 0 && now < born + settings.rules().coldUs();
     }
 
-    /** Rule 4: of what is inside its reserve and first sent here, a cold node gets the part that the rules
-     * promise of its capacity at the age it had when the request came. Chance decides for each request, so
-     * hosts need not agree on parts, however many they are, and no restart gains anything: the node gets that
-     * part of its usual traffic. Nothing that waited for the node to come back goes at once. */
+    /** Rule 4: of requests first sent and still in time a cold node gets the part that the rules promise of
+     * its capacity at the age it had when the request came. Chance decides for each, so hosts need not agree
+     * on parts, however many they are, and no restart gains anything: what comes is that part of the traffic,
+     * at the rule's multiple only if the traffic is so many times the full capacity, and long answers have
+     * held that back before. Nothing that waited for the node goes at once, and nothing goes twice. */
     boolean bears(Pending p) {
       if (!cold()) {
         return true;
       }
       Rules r = settings.rules();
       double age = Math.max(0, Math.min(1, (double) (p.cameAt - born) / r.coldUs()));
-      return p.attempts == 0 && p.chance < r.coldFrom() + (1 - r.coldFrom()) * age && !late(this, p)
-          && p.reserve.allows(p.request.units(), now);
+      return p.attempts == 0 && p.chance < r.coldFrom() + (1 - r.coldFrom()) * age && !late(this, p);
     }
 
     int bound() {
