--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -38,7 +38,7 @@
   /** ...and narrows above this one; between the two it rests, so that noise does not move it. */
   static final double FAR_FROM_USUAL = 2.4;
 
-  /** Part of the window kept by one narrowing, of which there is at most one a mean latency. */
+  /** Part of the window kept by one narrowing, of which there is at most one a latency. */
   static final double NARROW = 0.85;
 
   /** The latency estimate of a node fades toward the usual one in so many mean gaps between this host's
@@ -46,13 +46,18 @@
    * of a hundred only now and then, so that all together do not fill it while they look. */
   static final double FADE_ASKS = 6, FADE_LEAST = 500_000, FADE_MOST = 2_000_000;
 
-  /** Share of answers faster than the usual latency: what a node does that has next to no queue. */
+  /** Moves of the usual latency at a faster and at a slower answer: a quarter of the answers, of all nodes,
+   * come to be faster, as from a node that has next to no queue. */
   static final double USUAL_DOWN = 0.97, USUAL_UP = 1.01;
 
   /** What no answer, or a node that turns away, says at most of its latency, in shortest aims: enough to hold
    * all that is due soon, yet gone after one or two times FADE, since answers are also lost one by one. */
   static final double UNSEEN = 2;
 
+  /** A safe attempt sent in time is given up this part of its aim after it: nodes that drop what is given up
+   * lose the tail of their queue, which earns little; harm: where they do not, a late answer is missed. */
+  static final double GIVE_UP = 0.5;
+
   /** Weight of one more silence in what they mean. */
   static final double LOST_GAIN = 0.2;
 
@@ -307,11 +312,12 @@
     /** When it came up, as this host believes and as the list said last; the first may be later. */
     long born, listedBorn;
     double window = WINDOW_START;
+    /** What one host may send while it is cold: half the safe units at once, half over the rule's window. */
+    Limit safe;
     double seen = usual, gap = FADE_MOST;
-    long askedAt;
     boolean silent;
     int out, held, refused;
-    long narrowedAt, answeredSentAt, seenAt, sampledAt;
+    long narrowedAt, answeredSentAt, seenAt, sampledAt, askedAt;
     /** Requests with an attempt out here, oldest first. */
     final LinkedHashSet<Pending> flight = new LinkedHashSet<>();
 
@@ -324,6 +330,8 @@
     /** A new start: what the last process could do says nothing of this one. */
     void restart(long bornUs) {
       born = bornUs;
+      double half = settings.store().coldUnits() / 2;
+      safe = new Limit(half * 1e6 / Math.max(1, settings.rules().fallUs()), half, 0, now);
       window = WINDOW_START;
       seen = usual;
       refused = 0;
@@ -335,20 +343,16 @@
 
     /** Rule 4: of requests first sent and still in time a cold node gets the part that the rules promise of
      * its capacity at the age it had when the request came. Chance decides for each, so hosts need not agree
-     * on parts, however many they are, and no restart gains anything: what comes is that part of the traffic,
-     * at the rule's multiple only if the traffic is so many times the full capacity, and long answers have
-     * held that back before. Nothing that waited for the node goes at once, and nothing goes twice. */
+     * on parts, however many they are, and no restart gains anything. Nothing that waited for the node goes
+     * at once, nothing twice, and no host alone, whatever comes to it, passes what is always safe. */
     boolean bears(Pending p) {
       if (!cold()) {
         return true;
       }
       Rules r = settings.rules();
       double age = Math.max(0, Math.min(1, (double) (p.cameAt - born) / r.coldUs()));
-      return p.attempts == 0 && p.chance < r.coldFrom() + (1 - r.coldFrom()) * age && !late(this, p);
-    }
-
-    int bound() {
-      return (int) window;
+      return p.attempts == 0 && p.chance < r.coldFrom() + (1 - r.coldFrom()) * age && !late(this, p)
+          && (settings.store().coldUnits() <= 0 || safe.allows(p.request.units(), now));
     }
 
     /** Tokens a second: the window's requests, in mean units, over the mean latency. */
@@ -469,6 +473,7 @@
 
     /** One period's allocation: the paper's three steps, then rates for the buckets. */
     void allocate() {
+      writeOff();
       List<Volume> active = new ArrayList<>();
       for (Volume v : volumes.values()) {
         v.fill(now);
@@ -615,16 +620,11 @@
       out.accept(new Watch());
     }
     if (now >= periodEnd) {
-      nodes.values().forEach(Node::writeOff);
       nodes.values().forEach(Node::allocate);
       periodEnd = now + PERIOD;
     }
     blocked = false;
-    for (Node n : nodes.values()) {
-      if (n.held > 0) {
-        release(n);
-      }
-    }
+    nodes.values().forEach(this::release);
     arm();
   }
 
@@ -669,6 +669,7 @@
         moved.forEach(p -> unplaced.put(p.seq, p));
       }
     }
+    nodes.values().removeIf(n -> n.state == NodeState.GONE && n.flight.isEmpty());
     List<Pending> waiting = new ArrayList<>(unplaced.values());
     unplaced.clear();
     waiting.forEach(this::place);
@@ -731,18 +732,16 @@
     }
   }
 
-  /** Expected time to serve one more, us; cold nodes come last. */
+  /** Expected time to serve one more, us; cold nodes come last. Chance keeps hosts that know nothing of each
+   * other from all picking one node for new objects. */
   private double burden(Node n) {
     double time = (n.out + n.held + 1) * n.expected() / n.window;
-    return n.cold() ? time + 1e8 : time;
+    return (n.cold() ? time + 1e8 : time) * (1 + random.nextDouble());
   }
 
-  /** Sends while the window has room: first what is due, soonest first, then the heaviest that waits. */
+  /** Sends while the window has room and what earns most is worth the wait. */
   private void release(Node n) {
-    if (n.state != NodeState.ON) {
-      return;
-    }
-    while (n.held > 0 && n.out < n.bound() && n.flight.size() < WINDOW_MAX) {
+    while (n.state == NodeState.ON && n.held > 0 && n.out < (int) n.window && n.flight.size() < WINDOW_MAX) {
       Pending p = pick(n);
       if (p == null || !worthwhile(n, p)) {
         blocked |= p != null;
@@ -842,7 +841,11 @@
     p.overdue = false;
     n.out++;
     n.flight.add(p);
-    out.accept(new Send(p.request.id(), n.id, 0));
+    if (n.cold()) {
+      n.safe.add(-p.request.units());
+    }
+    boolean givenUp = p.rules.effect() == Effect.SAFE && now < p.aimAt;
+    out.accept(new Send(p.request.id(), n.id, givenUp ? p.aimAt + (long) (GIVE_UP * p.rules.aimUs()) : 0));
   }
 
   private void outcome(Outcome o) {
--- a/src/test/java/hollyslip/Worlds.java
+++ b/src/test/java/hollyslip/Worlds.java
@@ -23,6 +23,13 @@
     return List.of(SAFE, UNSAFE, ORDERED, keyed(Group.ALL), keyed(Group.ZONE), keyed(Group.CELL));
   }
 
+  /** One of so many hosts, with its own seed. */
+  static Settings seeded(long seed, int hosts) {
+    Settings s = settings();
+    return new Settings(seed, 0, hosts, s.zone(), s.tickUs(), false, s.classes(), s.plans(), s.rules(), s
+        .allowed(), s.store(), s.reportSource(), s.reportFields());
+  }
+
   static Settings settings(List<RequestClass> classes, Rules rules, boolean onRequest) {
     return new Settings(7, 0, 2, "a", 2_000, onRequest, classes, List.of(new Plan("free", 4, 2, 1, 1, 0, 0,
         0), new Plan("heavy", 8, 4, 3, 1, 0, 0, 0), new Plan("limited", 4, 2, 1, 1, 20, 24, 2.4)), rules,
