--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -46,12 +46,11 @@
    * of a hundred only now and then, so that all together do not fill it while they look. */
   static final double FADE_ASKS = 6, FADE_LEAST = 500_000, FADE_MOST = 2_000_000;
 
-  /** Moves of the usual latency at a faster and at a slower answer: a quarter of the answers, of all nodes,
-   * come to be faster, as from a node that has next to no queue. */
+  /** Moves of the usual latency at a faster and at a slower answer of any node: a quarter come to be
+   * faster. */
   static final double USUAL_DOWN = 0.97, USUAL_UP = 1.01;
 
-  /** What no answer, or a node that turns away, says at most of its latency, in shortest aims: enough to hold
-   * all that is due soon, yet gone after one or two times FADE, since answers are also lost one by one. */
+  /** What silence or a full queue says at most of a latency, in shortest aims: enough to hold what is due. */
   static final double UNSEEN = 2;
 
   /** A safe attempt sent in time is given up this part of its aim after it: nodes that drop what is given up
@@ -399,21 +398,19 @@
     }
 
     /** Learns from what followed a silence, on any node, whether silences mean long queues and dead nodes or
-     * that answers get lost; the latter hold nothing back. Harm: once lost, a dead node is tried more
-     * often. */
+     * that answers get lost; the latter hold nothing back. Harm: a dead node is tried more often. */
     void silenceMeant(boolean onlyLost) {
       silent = false;
       lost += LOST_GAIN * ((onlyLost ? 1 : 0) - lost);
     }
 
     /** An answer after refused connections guards against a node back from a crash before the list tells of
-     * it, also against a cut link that heals. Harm: a node merely out of connections gets less for a
-     * while. */
-    void answered(long tookUs) {
+     * it, also against a cut link that heals. Harm: one merely out of connections gets less. */
+    void answered(double tookUs) {
       if (silent) {
         silenceMeant(tookUs < shortestAim / 2);
       }
-      see(Math.max(1, tookUs));
+      see(tookUs);
       usual *= tookUs < usual ? USUAL_DOWN : USUAL_UP;
       if (refused >= DOWN_AFTER) {
         restart(now);
@@ -732,8 +729,7 @@
     }
   }
 
-  /** Expected time to serve one more, us; cold nodes come last. Chance keeps hosts that know nothing of each
-   * other from all picking one node for new objects. */
+  /** Expected time to serve one more, us; cold nodes last. Chance keeps hosts from all picking one node. */
   private double burden(Node n) {
     double time = (n.out + n.held + 1) * n.expected() / n.window;
     return (n.cold() ? time + 1e8 : time) * (1 + random.nextDouble());
@@ -792,7 +788,12 @@
 
   /** Whether the answer can no longer come within the aim. */
   private boolean late(Node n, Pending p) {
-    return p.aimAt < now + (long) n.expected();
+    return p.aimAt < now + (long) (n.expected() + beyondMean(p));
+  }
+
+  /** Latency of a request beyond that of one of mean units: a large one tells of no queue. */
+  private double beyondMean(Pending p) {
+    return usual * (p.request.units() / settings.store().meanUnits() - 1);
   }
 
   /** What a unit of a request earns if it leaves now, as a part of the most that any can. */
@@ -886,7 +887,7 @@
 
   private void judge(Node n, Pending p, Outcome o) {
     switch (o.result()) {
-      case OK -> n.answered(o.tookUs());
+      case OK -> n.answered(Math.max(1, o.tookUs() - beyondMean(p)));
       case FULL -> n.seeNone(UNSEEN * shortestAim);
       case CONNECT_FAILED -> { n.seeNone(UNSEEN * shortestAim); n.refused++; }
       case TIMEOUT, RESET -> {
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -257,6 +257,17 @@
     assertEquals(List.of(), a.breaches);
   }
 
+  @Test
+  void aLargeRequestThatTookLongTellsOfNoQueue() {
+    // From the quiet days of the grown deployments: small requests were held behind the times of large ones.
+    RuleAudit a = audit();
+    a.request(Worlds.request(1, "read", "free", null, 9, 6, 0));
+    a.advance(START + 150_000);
+    a.finish(a.out.get(0), Result.OK);
+    a.request(Worlds.request(2, "read", "free", null, 9, 2, 0));
+    assertEquals(2, sends(a));
+  }
+
   @Test
   void silenceAndFullQueuesHoldWhatIsDueUntilAnAnswerOrTimePass() {
     for (Result r : List.of(Result.FULL, Result.CONNECT_FAILED, Result.RESET)) {
