--- /dev/null
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -0,0 +1,127 @@
+package hollyslip.cli;
+
+import hollyslip.Choice;
+import hollyslip.HostScheduler.Listed;
+import hollyslip.engine.Engine;
+import hollyslip.fleet.Membership;
+import hollyslip.front.vhost.VhostServer;
+import hollyslip.node.NodePool;
+import hollyslip.recovery.Epoch;
+import hollyslip.settings.Deployment;
+import hollyslip.volume.Classifier;
+import hollyslip.volume.Splitter;
+import hollyslip.volume.Volume;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One gateway, put together from its settings. */
+public final class Gateway implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+  /** Longest command that nodes take: the NBD protocol's limit without a block size constraint is 32 MiB. */
+  private static final long MOST_COMMAND = 32 << 20;
+
+  private final Deployment deployment;
+  private final Engine engine;
+  private final Membership membership;
+  private final NodePool pool;
+  private final List<VhostServer> fronts = new ArrayList<>();
+
+  /** Builds and starts it; sockets listen when this returns. */
+  public Gateway(Deployment deployment) throws IOException {
+    this.deployment = deployment;
+    Deployment.Process p = deployment.gateway();
+    long epoch = Epoch.take(p.stateDir().resolve("epoch"));
+    var classifier = new Classifier(deployment.rows(), p.unitBytes(), deployment.store().mostUnits());
+    engine = new Engine(new Engine.Config(deployment.module(), classifier, new Splitter(MOST_COMMAND), p
+        .mostRequests(), p.mostBytes()), deployment.byName(), new Choice(deployment.module()));
+    membership = new Membership(deployment.rules().coldUs(), engine::nodes);
+    pool = new NodePool(engine, new NodePool.Limits(p.name(), epoch, p.connections(), p.perConnection(),
+        deployment.allowed().connectTimeoutUs(), deployment.rules().orderSettleUs()), deployment.module()
+            .reportFields(), new News(), p.ioThreads());
+    pool.addresses(addresses(deployment));
+    engine.start(pool);
+    membership.replace(listed(deployment));
+    Files.createDirectories(p.socketDir());
+    for (Volume v : deployment.volumes()) {
+      fronts.add(new VhostServer(engine, v.name(), socket(v.name())));
+    }
+    LOG.info("gateway.started name={} epoch={} volumes={} nodes={}", p.name(), epoch, deployment.volumes()
+        .size(), deployment.nodes().size());
+  }
+
+  private static List<NodePool.Address> addresses(Deployment d) {
+    return d.nodes().stream().map(n -> new NodePool.Address(n.id(), n.name(), new InetSocketAddress(n.host(),
+        n.port()), "shard-" + n.shard())).toList();
+  }
+
+  private static List<Listed> listed(Deployment d) {
+    return d.nodes().stream().map(Deployment.Node::listed).toList();
+  }
+
+  /** News of starts go through the membership to the module. */
+  private final class News implements NodePool.News {
+    @Override
+    public boolean started(long node, long boot, long ageUs) {
+      boolean fresh = membership.started(node, boot, ageUs, Engine.clock());
+      if (fresh) {
+        LOG.info("node.started node={} age_ms={}", node, ageUs / 1_000);
+      }
+      return fresh;
+    }
+
+    @Override
+    public void wanted() {
+      membership.tellAgain();
+    }
+  }
+
+  /** Takes on another node list; the rest of the settings stays as it was. */
+  public void nodes(Deployment next) {
+    List<NodePool.Address> addresses = addresses(next);
+    engine.execute(() -> pool.addresses(addresses));
+    membership.replace(listed(next));
+    LOG.info("nodes.replaced nodes={}", next.nodes().size());
+  }
+
+  /** Socket of a volume. */
+  public Path socket(String volume) {
+    return deployment.gateway().socketDir().resolve(volume + ".sock");
+  }
+
+  public Engine engine() {
+    return engine;
+  }
+
+  public Membership membership() {
+    return membership;
+  }
+
+  /** Takes no more, answers everything, then closes the sockets; complete when all is answered. */
+  public CompletableFuture<Void> stop() {
+    return engine.stop().whenComplete((done, error) -> fronts.forEach(VhostServer::close));
+  }
+
+  /** Stops and waits, but no longer than the longest time that a client waits. */
+  @Override
+  public void close() {
+    long most = deployment.classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0);
+    try {
+      stop().get(most * 2 + 1_000_000, TimeUnit.MICROSECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      LOG.error("gateway.stop", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -0,0 +1,479 @@
+package hollyslip.engine;
+
+import hollyslip.HostScheduler;
+import hollyslip.HostScheduler.Action;
+import hollyslip.HostScheduler.Event;
+import hollyslip.HostScheduler.NodeList;
+import hollyslip.HostScheduler.RequestClass;
+import hollyslip.HostScheduler.Result;
+import hollyslip.volume.Classifier;
+import hollyslip.volume.IoKind;
+import hollyslip.volume.Splitter;
+import hollyslip.volume.Volume;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.LongAdder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Drives one {@link HostScheduler}: tells it what happens, carries out what it decides. It is the only owner
+ * of the module and runs it on one thread that never blocks.
+ *
+ * <p>
+ * The way of one request, top to bottom: a front calls {@link #offer}; {@link #take} cuts it into pieces; a
+ * change of blocks waits for its range ({@link RangeLocks}); {@link #submit} tells the module;
+ * {@link #carryOut} sends where the module says; {@link #ended} takes what came of an attempt back to the
+ * module; {@link #answerPiece} collects the answers of the pieces and gives the client its one. */
+public final class Engine {
+  private static final Logger LOG = LoggerFactory.getLogger(Engine.class);
+
+  /** Letters read before timers and sends get their turn, so that none starves. */
+  private static final int BATCH = 256;
+
+  /** Longest sleep, us: only a bound, timers and letters wake it. */
+  private static final long NAP = 1_000_000;
+
+  /** What the engine is built from.
+   *
+   * @param settings
+   *          of the module
+   * @param classifier
+   *          class and units of a request
+   * @param splitter
+   *          cuts requests at extents
+   * @param mostRequests
+   *          requests held at most
+   * @param mostBytes
+   *          bytes of requests held at most */
+  public record Config(HostScheduler.Settings settings, Classifier classifier, Splitter splitter,
+      long mostRequests, long mostBytes) {}
+
+  /** Totals since the start; {@code moduleNs} is the time spent inside the module. */
+  public record Totals(long taken, long served, long refused, long failed, long departed, long attempts,
+      long held, long moduleNs) {}
+
+  private final Config config;
+  private final HostScheduler module;
+  private final Map<String, RequestClass> classes = new HashMap<>();
+  private final Mailbox mailbox = new Mailbox();
+  private final Timers timers = new Timers();
+  private final Bounds bounds;
+  private final RangeLocks locks = new RangeLocks();
+  private final Map<Long, Piece> pieces = new HashMap<>();
+  private final Map<Io, Operation> operations = new IdentityHashMap<>();
+  private final List<Action> actions = new ArrayList<>();
+  private final List<Runnable> turnedAway = new CopyOnWriteArrayList<>();
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+  private final LongAdder taken = new LongAdder(), served = new LongAdder(), refused = new LongAdder();
+  private final LongAdder failed = new LongAdder(), departed = new LongAdder(), attempts = new LongAdder();
+  private final LongAdder moduleNs = new LongAdder();
+  private volatile Map<String, Volume> volumes;
+  private volatile boolean stopping;
+  private volatile boolean awaitingRoom;
+  private NodePort port;
+  private long now;
+  private long nextPiece;
+
+  public Engine(Config config, Map<String, Volume> volumes, HostScheduler module) {
+    this.config = config;
+    this.volumes = Map.copyOf(volumes);
+    this.module = module;
+    bounds = new Bounds(config.mostRequests(), config.mostBytes());
+    config.settings().classes().forEach(c -> classes.put(c.name(), c));
+  }
+
+  /** Starts the engine's thread; {@code nodes} is where attempts go. */
+  public void start(NodePort nodes) {
+    port = nodes;
+    Thread thread = new Thread(this::run, "engine");
+    mailbox.owner(thread);
+    thread.start();
+  }
+
+  /** The engine's clock, us: monotonic, the same for all processes of a machine. */
+  public static long clock() {
+    return System.nanoTime() / 1_000;
+  }
+
+  /** Hands a request in, from any thread. False: no room, or the engine is stopping; the front keeps the
+   * request and offers it again when {@link #onRoom} calls.
+   *
+   * @throws IllegalArgumentException
+   *           the volume is not known or does not hold the range */
+  public boolean offer(Io io) {
+    Volume volume = volumes.get(io.volume());
+    if (volume == null) {
+      throw new IllegalArgumentException("volume: " + io.volume() + " is not known");
+    }
+    if (io.kind() != IoKind.FLUSH && !volume.holds(io.offset(), io.length())) {
+      throw new IllegalArgumentException("range: " + io.offset() + "+" + io.length()
+          + " is not blocks of volume " + io.volume());
+    }
+    if (stopping) {
+      return false;
+    }
+    if (!bounds.take(held(io))) {
+      awaitingRoom = true;
+      return false;
+    }
+    long at = clock();
+    mailbox.put(() -> take(io, volume, at));
+    return true;
+  }
+
+  /** Has this called, on the engine's thread, whenever there is room again after a front was turned away. */
+  public void onRoom(Runnable listener) {
+    turnedAway.add(listener);
+  }
+
+  /** Ends the listening of {@link #onRoom}. */
+  public void forgetRoom(Runnable listener) {
+    turnedAway.remove(listener);
+  }
+
+  /** The client of a request left: it gets no answer, its data is released soon. From any thread. */
+  public void depart(Io io) {
+    mailbox.put(() -> leave(io));
+  }
+
+  /** News of the node list. From any thread. */
+  public void nodes(NodeList list) {
+    mailbox.put(() -> tell(list));
+  }
+
+  /** A call for the node list failed. From any thread. */
+  public void listFailed() {
+    mailbox.put(() -> tell(new HostScheduler.ListFailed()));
+  }
+
+  /** What came of an attempt; {@code report} may be null. From any thread, once an attempt that was not
+   * withdrawn. {@code TIMEOUT} and {@code CANCELLED} are the engine's own to tell. */
+  public void outcome(Attempt attempt, Result result, List<Double> report) {
+    mailbox.put(() -> ended(attempt, result, report));
+  }
+
+  /** An attempt that ended without a word of its effect can have none any more. From any thread. */
+  public void resolved(Attempt attempt) {
+    mailbox.put(() -> harmless(attempt));
+  }
+
+  /** What came of a probe; {@code report} may be null. From any thread. */
+  public void probed(long node, Result result, long tookUs, List<Double> report) {
+    mailbox.put(() -> tell(new HostScheduler.Probed(node, result, tookUs, report)));
+  }
+
+  /** Runs something on the engine's thread. */
+  public void execute(Runnable task) {
+    mailbox.put(task);
+  }
+
+  /** Runs something on the engine's thread after so many us; call on the engine's thread. */
+  public void after(long us, Runnable task) {
+    timers.set(clock() + us, task);
+  }
+
+  /** Volumes to serve from now on; requests in flight keep the volume that they came with. */
+  public void volumes(Map<String, Volume> next) {
+    volumes = Map.copyOf(next);
+  }
+
+  /** The volumes served now, by name. */
+  public Map<String, Volume> volumes() {
+    return volumes;
+  }
+
+  /** Takes nothing more, answers all it holds, then ends. From any thread; calls again change nothing. */
+  public CompletableFuture<Void> stop() {
+    mailbox.put(() -> stopping = true);
+    return stopped;
+  }
+
+  /** Totals since the start. From any thread; the figures need not be of one instant. */
+  public Totals totals() {
+    return new Totals(taken.sum(), served.sum(), refused.sum(), failed.sum(), departed.sum(), attempts.sum(),
+        bounds.requests(), moduleNs.sum());
+  }
+
+  private void run() {
+    try {
+      while (!(stopping && bounds.requests() == 0)) {
+        turn();
+      }
+      port.close();
+      stopped.complete(null);
+    } catch (Throwable e) {
+      LOG.error("engine.fault", e);
+      stopped.completeExceptionally(e);
+      throw e;
+    }
+  }
+
+  private void turn() {
+    now = clock();
+    int read = 0;
+    for (Runnable letter = mailbox.poll(); letter != null; letter = mailbox.poll()) {
+      letter.run();
+      if (++read == BATCH) {
+        break;
+      }
+    }
+    now = Math.max(now, clock());
+    timers.run(now);
+    port.flush();
+    if (awaitingRoom && bounds.roomy()) {
+      awaitingRoom = false;
+      turnedAway.forEach(Runnable::run);
+    }
+    if (read < BATCH) {
+      mailbox.await(Math.min(NAP, Math.max(0, timers.next() - clock())));
+    }
+  }
+
+  private static long held(Io io) {
+    return io.kind().carriesData() ? io.length() : 0;
+  }
+
+  // A request comes in.
+
+  private void take(Io io, Volume volume, long at) {
+    taken.increment();
+    String className = config.classifier().className(io.kind(), io.length());
+    RequestClass rules = classes.get(className);
+    long deadline = at + (io.remainingUs() > 0 ? io.remainingUs() : rules.deadlineUs());
+    boolean repeatable = rules.effect() == HostScheduler.Effect.SAFE;
+    Operation op = new Operation(io, volume, className, repeatable, at, deadline);
+    operations.put(io, op);
+    op.pieces = cut(op);
+    for (Piece piece : op.pieces) {
+      if (!piece.kind.changes() || locks.lock(piece)) {
+        submit(piece);
+      } else {
+        await(piece);
+      }
+    }
+  }
+
+  private List<Piece> cut(Operation op) {
+    List<Piece> cut = new ArrayList<>(1);
+    if (op.io.kind() == IoKind.FLUSH) {
+      for (int shard : Splitter.shards(op.volume)) {
+        cut.add(new Piece(nextPiece++, op, shard, 0, 0, 0));
+      }
+    } else {
+      for (Splitter.Part p : config.splitter().split(op.volume, op.io.offset(), op.io.length())) {
+        cut.add(new Piece(nextPiece++, op, p.shard(), p.offset(), p.from(), p.length()));
+      }
+    }
+    return cut;
+  }
+
+  /** A change whose blocks another one holds: it is refused a tick before its client's time ends, since
+   * nothing of it ran. */
+  private void await(Piece piece) {
+    for (Piece holder : locks.blockers(piece)) {
+      holder.attempts.forEach(this::fenceIfAbandoned);
+    }
+    timers.set(piece.operation.deadline - config.settings().tickUs(), () -> {
+      if (!piece.known && !piece.answered) {
+        locks.leave(piece).forEach(this::submit);
+        answerPiece(piece, Answer.refused(0));
+      }
+    });
+  }
+
+  private void fenceIfAbandoned(Attempt attempt) {
+    if (attempt.over && attempt.mayRun && !attempt.resolved) {
+      port.fence(attempt);
+    }
+  }
+
+  /** Tells the module of a piece that may be sent as far as its blocks go. */
+  private void submit(Piece piece) {
+    Operation op = piece.operation;
+    piece.known = true;
+    pieces.put(piece.id, piece);
+    long extent = op.io.offset() / op.volume.extentBytes();
+    tell(new HostScheduler.Request(piece.id, op.className, op.volume.plan(), op.volume.id() << 24 | extent,
+        op.volume.id(), config.classifier().units(piece.kind, piece.length), piece.shard, op.volume.hosts(),
+        op.deadline - now, false));
+  }
+
+  // The module decides.
+
+  private void tell(Event event) {
+    long from = System.nanoTime();
+    module.handle(now, event, actions::add);
+    moduleNs.add(System.nanoTime() - from);
+    if (!actions.isEmpty()) {
+      List<Action> decided = List.copyOf(actions);
+      actions.clear();
+      decided.forEach(this::carryOut);
+    }
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof HostScheduler.Send s) {
+      send(pieces.get(s.request()), s);
+    } else if (action instanceof HostScheduler.Refuse r) {
+      answerPiece(pieces.get(r.request()), Answer.refused(r.retryInUs()));
+    } else if (action instanceof HostScheduler.Fail f) {
+      answerPiece(pieces.get(f.request()), Answer.FAILED);
+    } else if (action instanceof HostScheduler.Cancel c) {
+      withdraw(pieces.get(c.request()).attempts.get(c.attempt()), Result.CANCELLED);
+    } else if (action instanceof HostScheduler.Probe p) {
+      port.probe(p.node());
+    } else if (action instanceof HostScheduler.SetTimer t) {
+      timers.set(t.at(), () -> tell(new HostScheduler.TimerDue(t.id())));
+    } else if (action instanceof HostScheduler.Watch) {
+      port.watch();
+    }
+  }
+
+  private void send(Piece piece, HostScheduler.Send order) {
+    Operation op = piece.operation;
+    Attempt attempt = new Attempt(piece, piece.attempts.size(), order.node(), now);
+    piece.attempts.add(attempt);
+    attempts.increment();
+    op.out++;
+    if (piece.kind.changes()) {
+      piece.unresolved++;
+    }
+    long until = order.timeoutAt() > 0 ? Math.min(order.timeoutAt(), op.deadline) : op.deadline;
+    attempt.timer = timers.set(until, () -> withdraw(attempt, Result.TIMEOUT));
+    port.send(attempt);
+  }
+
+  // What came of it.
+
+  /** Gives an attempt up, if its outcome has not come: the module hears what is true of it. */
+  private void withdraw(Attempt attempt, Result reason) {
+    if (attempt.over) {
+      return;
+    }
+    switch (port.withdraw(attempt)) {
+      case NEVER_SENT -> ended(attempt, Result.MOOT, null);
+      case MAY_RUN -> ended(attempt, reason, null);
+      case ENDED -> {}
+    }
+  }
+
+  private void ended(Attempt attempt, Result result, List<Double> report) {
+    if (attempt.over) {
+      return;
+    }
+    attempt.over = true;
+    attempt.timer.cancel();
+    Piece piece = attempt.piece;
+    piece.operation.out--;
+    attempt.mayRun = !result.provesNotRun() && result != Result.OK && result != Result.ERROR;
+    boolean before = piece.answered;
+    if (result == Result.OK && !before) {
+      answerPiece(piece, Answer.SERVED);
+    }
+    tell(new HostScheduler.Outcome(piece.id, attempt.number, attempt.node(), result, piece.answered, Math.max(
+        0, now - attempt.sentAt), 0, 0, report));
+    if (!attempt.mayRun) {
+      harmless(attempt);
+    } else if (piece.kind.changes() && locks.awaited(piece)) {
+      fenceIfAbandoned(attempt);
+    }
+    free(piece);
+  }
+
+  /** An attempt can have no effect any more. */
+  private void harmless(Attempt attempt) {
+    Piece piece = attempt.piece;
+    if (!attempt.resolved) {
+      attempt.resolved = true;
+      if (piece.kind.changes()) {
+        piece.unresolved--;
+        unlock(piece);
+      }
+    }
+  }
+
+  private void unlock(Piece piece) {
+    if (piece.answered && piece.unresolved == 0) {
+      locks.unlock(piece).forEach(this::submit);
+    }
+  }
+
+  /** Takes the one answer of a piece; gives the client its own when all pieces have theirs. */
+  private void answerPiece(Piece piece, Answer answer) {
+    if (piece == null || piece.answered) {
+      return;
+    }
+    piece.answered = true;
+    Operation op = piece.operation;
+    op.verdict.add(answer);
+    Result reason = now >= op.deadline - 2 * config.settings().tickUs() ? Result.TIMEOUT : Result.CANCELLED;
+    giveUpOthers(piece, reason);
+    if (piece.kind.changes()) {
+      unlock(piece);
+    }
+    if (!op.answered && op.verdict.pieces() == op.pieces.size()) {
+      op.answered = true;
+      Answer all = op.verdict.answer();
+      switch (all.kind()) {
+        case SERVED -> served.increment();
+        case REFUSED -> refused.increment();
+        case FAILED -> failed.increment();
+      }
+      op.io.client().answered(all);
+    }
+    free(piece);
+  }
+
+  /** What is still out for a piece that has its answer must not touch the client's data again. */
+  private void giveUpOthers(Piece piece, Result reason) {
+    for (Attempt a : piece.attempts) {
+      withdraw(a, reason);
+    }
+  }
+
+  private void leave(Io io) {
+    Operation op = operations.get(io);
+    if (op == null || op.answered) {
+      return;
+    }
+    op.answered = true;
+    departed.increment();
+    for (Piece piece : op.pieces) {
+      if (piece.answered) {
+        continue;
+      }
+      piece.answered = true;
+      if (piece.known) {
+        tell(new HostScheduler.Departed(piece.id));
+      } else {
+        locks.leave(piece).forEach(this::submit);
+      }
+      giveUpOthers(piece, Result.CANCELLED);
+      unlock(piece);
+      free(piece);
+    }
+    free(op);
+  }
+
+  /** Forgets what nothing will ask for again. */
+  private void free(Piece piece) {
+    if (piece.answered && piece.attempts.stream().allMatch(a -> a.over)) {
+      pieces.remove(piece.id);
+    }
+    free(piece.operation);
+  }
+
+  private void free(Operation op) {
+    if (op.answered && op.out == 0 && !op.released) {
+      op.released = true;
+      operations.remove(op.io);
+      op.io.client().released();
+      bounds.give(held(op.io));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/engine/Io.java
@@ -0,0 +1,40 @@
+package hollyslip.engine;
+
+import hollyslip.volume.IoKind;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/** A request as a front hands it in.
+ *
+ * <p>
+ * {@code data} is the client's own memory: for a write it is read while an attempt is being sent, for a read
+ * it is written when an answer comes. It belongs to the engine from {@link Engine#offer} until
+ * {@link Client#released}; the sum of what remains in the buffers is {@code length}.
+ *
+ * @param volume
+ *          name of the volume
+ * @param kind
+ *          what to do
+ * @param offset
+ *          first byte; a multiple of the block size
+ * @param length
+ *          bytes; 0 for a flush
+ * @param data
+ *          buffers, in order; empty for kinds without data
+ * @param remainingUs
+ *          how long the client still waits, us; 0: as the request's class says
+ * @param client
+ *          who hears of the end */
+public record Io(String volume, IoKind kind, long offset, long length, List<ByteBuffer> data,
+    long remainingUs, Client client) {
+
+  /** The front's side of a request. Both calls come on the engine's thread and must not block. */
+  public interface Client {
+    /** The final answer; comes exactly once unless the client departed before. */
+    void answered(Answer answer);
+
+    /** Nothing will touch the request's data any more; comes exactly once, after the answer or the
+     * departure. */
+    void released();
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/engine/RangeLocks.java
@@ -0,0 +1,117 @@
+package hollyslip.engine;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Keeps changes of the same blocks in order of arrival: a change holds its range of a shard from when it is
+ * let through until it is answered and none of its attempts can have an effect any more; one that overlaps
+ * waits.
+ *
+ * <p>
+ * Guards against the late write: a write given up here may sit in its node's queue and land after a newer
+ * write to the same blocks was answered, so that reads would go back in time. Harm: a newer write to those
+ * blocks waits until the node answers, is fenced or is known to be gone, and is refused if its client's time
+ * ends before that. Reads and ranges that do not overlap wait for nothing. */
+final class RangeLocks {
+  private final Map<Integer, Shard> shards = new HashMap<>();
+
+  private static final class Shard {
+    /** By first byte; pieces that hold never overlap. */
+    final TreeMap<Long, Piece> held = new TreeMap<>();
+    final ArrayDeque<Piece> waiting = new ArrayDeque<>();
+    long longest;
+  }
+
+  /** Whether the piece may go now; otherwise it waits and comes out of a later {@link #unlock}. */
+  boolean lock(Piece piece) {
+    Shard shard = shards.computeIfAbsent(piece.shard, k -> new Shard());
+    if (!shard.waiting.isEmpty() && shard.waiting.stream().anyMatch(w -> overlap(w, piece)) || blockers(shard,
+        piece) != null) {
+      shard.waiting.add(piece);
+      return false;
+    }
+    hold(shard, piece);
+    return true;
+  }
+
+  /** Ends a hold and gives the pieces that may go now, in order. */
+  List<Piece> unlock(Piece piece) {
+    Shard shard = shards.get(piece.shard);
+    if (shard == null || !shard.held.remove(piece.offset, piece)) {
+      return List.of();
+    }
+    return admit(shard, piece.shard);
+  }
+
+  /** A waiting piece gives up; gives the pieces that may go now because of it. */
+  List<Piece> leave(Piece piece) {
+    Shard shard = shards.get(piece.shard);
+    if (shard == null || !shard.waiting.remove(piece)) {
+      return List.of();
+    }
+    return admit(shard, piece.shard);
+  }
+
+  /** What a waiting piece waits for: the pieces that hold its blocks. */
+  List<Piece> blockers(Piece piece) {
+    Shard shard = shards.get(piece.shard);
+    List<Piece> found = shard == null ? null : blockers(shard, piece);
+    return found == null ? List.of() : found;
+  }
+
+  /** Whether something waits for the blocks that this piece holds. */
+  boolean awaited(Piece holder) {
+    Shard shard = shards.get(holder.shard);
+    return shard != null && !shard.waiting.isEmpty() && shard.waiting.stream().anyMatch(w -> overlap(w,
+        holder));
+  }
+
+  /** Pieces that hold or wait. */
+  int size() {
+    return shards.values().stream().mapToInt(s -> s.held.size() + s.waiting.size()).sum();
+  }
+
+  private List<Piece> admit(Shard shard, int number) {
+    List<Piece> free = new ArrayList<>();
+    List<Piece> still = new ArrayList<>();
+    while (!shard.waiting.isEmpty()) {
+      Piece w = shard.waiting.poll();
+      if (blockers(shard, w) == null && still.stream().noneMatch(s -> overlap(s, w))) {
+        hold(shard, w);
+        free.add(w);
+      } else {
+        still.add(w);
+      }
+    }
+    shard.waiting.addAll(still);
+    if (shard.held.isEmpty() && shard.waiting.isEmpty()) {
+      shards.remove(number);
+    }
+    return free;
+  }
+
+  private static void hold(Shard shard, Piece piece) {
+    shard.held.put(piece.offset, piece);
+    shard.longest = Math.max(shard.longest, piece.length);
+  }
+
+  private static List<Piece> blockers(Shard shard, Piece piece) {
+    List<Piece> found = null;
+    for (Piece h : shard.held.subMap(piece.offset - shard.longest, false, piece.offset + piece.length, false)
+        .values()) {
+      if (overlap(h, piece)) {
+        found = found == null ? new ArrayList<>(2) : found;
+        found.add(h);
+      }
+    }
+    return found;
+  }
+
+  private static boolean overlap(Piece a, Piece b) {
+    return a.offset < b.offset + b.length && b.offset < a.offset + a.length;
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/front/sys/Linux.java
@@ -0,0 +1,341 @@
+package hollyslip.front.sys;
+
+import com.sun.jna.Memory;
+import com.sun.jna.Native;
+import com.sun.jna.Pointer;
+import java.io.IOException;
+import java.lang.ref.Reference;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The few calls of Linux that Java has not: descriptors over Unix sockets, eventfds, shared memory. Errors
+ * are {@link IOException}s that name the call. Layouts are those of 64-bit Linux (recvmsg(2), cmsg(3)). */
+public final class Linux {
+  /** Descriptors that one message may bring: VHOST_MEMORY_BASELINE_NREGIONS is 8. */
+  public static final int MOST_FDS = 8;
+
+  public static final short POLLIN = 1, POLLERR = 8, POLLHUP = 16, POLLNVAL = 32;
+
+  private static final int AF_UNIX = 1, SOCK_STREAM = 1, SOCK_CLOEXEC = 0x80000, SOL_SOCKET = 1;
+  private static final int SCM_RIGHTS = 1, MSG_DONTWAIT = 0x40, MSG_NOSIGNAL = 0x4000;
+  private static final int MSG_CMSG_CLOEXEC = 0x40000000, MSG_CTRUNC = 8;
+  private static final int EFD_NONBLOCK = 0x800, EFD_CLOEXEC = 0x80000, MFD_CLOEXEC = 1;
+  private static final int F_GETFL = 3, F_SETFL = 4, O_NONBLOCK = 0x800;
+  private static final int PROT_RW = 3, MAP_SHARED = 1, SEEK_END = 2;
+  private static final int EINTR = 4, EAGAIN = 11;
+  private static final int SUN_PATH = 108;
+
+  static {
+    Native.register("c");
+  }
+
+  private static native int socket(int domain, int type, int protocol);
+
+  private static native int bind(int fd, Pointer address, int length);
+
+  private static native int listen(int fd, int backlog);
+
+  private static native int accept4(int fd, Pointer address, Pointer length, int flags);
+
+  private static native int connect(int fd, Pointer address, int length);
+
+  private static native long recvmsg(int fd, Pointer message, int flags);
+
+  private static native long sendmsg(int fd, Pointer message, int flags);
+
+  private static native int memfd_create(String name, int flags);
+
+  private static native int eventfd(int initial, int flags);
+
+  private static native Pointer mmap(Pointer at, long length, int protection, int flags, int fd, long offset);
+
+  private static native int munmap(Pointer at, long length);
+
+  private static native int poll(Pointer fds, long count, int timeout);
+
+  private static native long read(int fd, Pointer to, long length);
+
+  private static native long write(int fd, Pointer from, long length);
+
+  private static native int fcntl(int fd, int command, int argument);
+
+  private static native int ftruncate(int fd, long length);
+
+  private static native long lseek(int fd, long offset, int whence);
+
+  private static native int kill(int pid, int signal);
+
+  private static native int close(int fd);
+
+  private Linux() {}
+
+  private static int check(int result, String call) throws IOException {
+    if (result < 0) {
+      throw new IOException(call + ": error " + Native.getLastError());
+    }
+    return result;
+  }
+
+  private static Memory address(Path path) throws IOException {
+    byte[] name = path.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    if (name.length >= SUN_PATH) {
+      throw new IOException("socket path longer than " + (SUN_PATH - 1) + " bytes: " + path);
+    }
+    Memory m = new Memory(2 + SUN_PATH);
+    m.clear();
+    m.setShort(0, (short) AF_UNIX);
+    m.write(2, name, 0, name.length);
+    return m;
+  }
+
+  /** A listening Unix socket at a path; a file left there is replaced. */
+  public static int listen(Path path) throws IOException {
+    Files.deleteIfExists(path);
+    int fd = check(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0), "socket");
+    try {
+      Memory a = address(path);
+      check(bind(fd, a, (int) a.size()), "bind " + path);
+      check(listen(fd, 16), "listen");
+      return fd;
+    } catch (IOException e) {
+      close(fd);
+      throw e;
+    }
+  }
+
+  /** Takes the next connection of a listening socket; waits. */
+  public static int accept(int fd) throws IOException {
+    return check(accept4(fd, null, null, SOCK_CLOEXEC), "accept");
+  }
+
+  /** Connects to a Unix socket. */
+  public static int connect(Path path) throws IOException {
+    int fd = check(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0), "socket");
+    try {
+      Memory a = address(path);
+      check(connect(fd, a, (int) a.size()), "connect " + path);
+      return fd;
+    } catch (IOException e) {
+      close(fd);
+      throw e;
+    }
+  }
+
+  /** Bytes and descriptors of one {@code recvmsg}; {@code bytes} -1: the peer closed, -2: nothing there. */
+  public record Received(int bytes, int[] fds, boolean truncated) {}
+
+  /** Reads up to {@code length} bytes without waiting; descriptors that come along are owned by the
+   * caller. */
+  public static Received receive(int fd, Memory into, int at, int length) throws IOException {
+    Memory control = new Memory(16 + 4 * 2 * MOST_FDS);
+    Memory iov = new Memory(16);
+    iov.setPointer(0, into.share(at));
+    iov.setLong(8, length);
+    Memory m = message(iov, control, control.size());
+    long n = recvmsg(fd, m, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
+    int error = n < 0 ? Native.getLastError() : 0;
+    Reference.reachabilityFence(iov);
+    if (n < 0) {
+      if (error == EAGAIN || error == EINTR) {
+        return new Received(-2, new int[0], false);
+      }
+      throw new IOException("recvmsg: error " + error);
+    }
+    int[] fds = new int[0];
+    long got = m.getLong(40);
+    if (got >= 16 && control.getInt(8) == SOL_SOCKET && control.getInt(12) == SCM_RIGHTS) {
+      int count = (int) Math.min((control.getLong(0) - 16) / 4, (got - 16) / 4);
+      fds = control.getIntArray(16, Math.max(0, count));
+    }
+    return new Received(n == 0 ? -1 : (int) n, fds, (m.getInt(48) & MSG_CTRUNC) != 0);
+  }
+
+  /** Sends bytes with descriptors. */
+  public static void send(int fd, byte[] bytes, int... fds) throws IOException {
+    Memory data = new Memory(bytes.length);
+    data.write(0, bytes, 0, bytes.length);
+    Memory iov = new Memory(16);
+    int at = 0;
+    while (at < bytes.length) {
+      iov.setPointer(0, data.share(at));
+      iov.setLong(8, bytes.length - at);
+      Memory control = null;
+      if (fds.length > 0 && at == 0) {
+        control = new Memory(16 + (4 * fds.length + 7) / 8 * 8);
+        control.clear();
+        control.setLong(0, 16 + 4L * fds.length);
+        control.setInt(8, SOL_SOCKET);
+        control.setInt(12, SCM_RIGHTS);
+        control.write(16, fds, 0, fds.length);
+      }
+      long n = sendmsg(fd, message(iov, control, control == null ? 0 : control.size()), MSG_NOSIGNAL);
+      int error = n < 0 ? Native.getLastError() : 0;
+      Reference.reachabilityFence(control);
+      if (n < 0 && error != EINTR) {
+        throw new IOException("sendmsg: error " + error);
+      }
+      at += (int) Math.max(0, n);
+    }
+  }
+
+  private static Memory message(Memory iov, Pointer control, long controlLength) {
+    Memory m = new Memory(56);
+    m.clear();
+    m.setPointer(16, iov);
+    m.setLong(24, 1);
+    m.setPointer(32, control);
+    m.setLong(40, controlLength);
+    return m;
+  }
+
+  /** A new eventfd that never blocks. */
+  public static int eventfd() throws IOException {
+    return check(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd");
+  }
+
+  /** Whether a descriptor is an eventfd. */
+  public static boolean isEventfd(int fd) {
+    try {
+      return Files.readSymbolicLink(Path.of("/proc/self/fd/" + fd)).toString().equals("anon_inode:[eventfd]");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** Makes reads and writes of a descriptor return at once. */
+  public static void nonBlocking(int fd) throws IOException {
+    int flags = check(fcntl(fd, F_GETFL, 0), "fcntl");
+    check(fcntl(fd, F_SETFL, flags | O_NONBLOCK), "fcntl");
+  }
+
+  /** Eight bytes for eventfds, one a thread. */
+  private static final ThreadLocal<Memory> COUNTER = ThreadLocal.withInitial(() -> new Memory(8));
+
+  /** Adds one to an eventfd. A counter that is full is as good: its reader has much to wake for. */
+  public static void signal(int fd) {
+    Memory one = COUNTER.get();
+    one.setLong(0, 1);
+    write(fd, one, 8);
+  }
+
+  /** Takes what an eventfd has counted. */
+  public static void drain(int fd) {
+    read(fd, COUNTER.get(), 8);
+  }
+
+  /** A memory file of so many bytes. */
+  public static int memfd(String name, long size) throws IOException {
+    int fd = check(memfd_create(name, MFD_CLOEXEC), "memfd_create");
+    check(ftruncate(fd, size), "ftruncate");
+    return fd;
+  }
+
+  /** Changes the length of a file. */
+  public static void truncate(int fd, long size) throws IOException {
+    check(ftruncate(fd, size), "ftruncate");
+  }
+
+  /** Length of a file, bytes. */
+  public static long size(int fd) throws IOException {
+    long n = lseek(fd, 0, SEEK_END);
+    if (n < 0) {
+      throw new IOException("lseek: error " + Native.getLastError());
+    }
+    return n;
+  }
+
+  /** Memory shared with another process. */
+  public static final class Mapping {
+    private final Pointer base;
+    private final long length;
+    private boolean mapped = true;
+
+    private Mapping(Pointer base, long length) {
+      this.base = base;
+      this.length = length;
+    }
+
+    /** A view of a part; using it after {@link #unmap} ends the process, so whoever unmaps must know that
+     * none is left in use. */
+    public ByteBuffer view(long at, long size) {
+      if (at < 0 || size < 0 || at > length - size || size > Integer.MAX_VALUE) {
+        throw new IndexOutOfBoundsException(at + "+" + size + " of " + length);
+      }
+      return base.getByteBuffer(at, size);
+    }
+
+    /** Ends it; again does nothing. */
+    public synchronized void unmap() {
+      if (mapped) {
+        mapped = false;
+        munmap(base, length);
+        MAPPINGS.decrementAndGet();
+      }
+    }
+  }
+
+  private static final AtomicInteger MAPPINGS = new AtomicInteger();
+
+  /** Mappings not yet ended: for tests that look for leaks. */
+  public static int mappings() {
+    return MAPPINGS.get();
+  }
+
+  /** Maps a part of a file; {@code offset} must be a multiple of the page size. */
+  public static Mapping map(int fd, long offset, long length) throws IOException {
+    Pointer p = mmap(null, length, PROT_RW, MAP_SHARED, fd, offset);
+    if (Pointer.nativeValue(p) == -1) {
+      throw new IOException("mmap: error " + Native.getLastError());
+    }
+    MAPPINGS.incrementAndGet();
+    return new Mapping(p, length);
+  }
+
+  /** A set of descriptors to wait for input on. */
+  public static final class Poll {
+    private Memory set = new Memory(8 * 64);
+    private int count;
+
+    public void clear() {
+      count = 0;
+    }
+
+    public void add(int fd) {
+      if (8L * (count + 1) > set.size()) {
+        Memory larger = new Memory(set.size() * 2);
+        byte[] old = set.getByteArray(0, (int) set.size());
+        larger.write(0, old, 0, old.length);
+        set = larger;
+      }
+      set.setInt(8L * count, fd);
+      set.setInt(8L * count + 4, POLLIN);
+      count++;
+    }
+
+    /** Waits for any, up to so many ms (-1: for ever). */
+    public void await(int ms) {
+      for (int i = 0; i < count; i++) {
+        set.setShort(8L * i + 6, (short) 0);
+      }
+      poll(set, count, ms);
+    }
+
+    /** Events of the descriptor added as number {@code i}. */
+    public short events(int i) {
+      return set.getShort(8L * i + 6);
+    }
+  }
+
+  /** Sends a signal to a process. */
+  public static void signalProcess(long pid, int signal) throws IOException {
+    check(kill((int) pid, signal), "kill");
+  }
+
+  /** Closes descriptors; failures do not matter. */
+  public static void closeAll(int... fds) {
+    Arrays.stream(fds).filter(fd -> fd >= 0).forEach(Linux::close);
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/front/vhost/BlockRequest.java
@@ -0,0 +1,133 @@
+package hollyslip.front.vhost;
+
+import hollyslip.volume.IoKind;
+import hollyslip.volume.Volume;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A virtio-blk request (virtio 1.2, 5.2.6) read out of a chain of descriptors.
+ *
+ * @param kind
+ *          null: answered without a node, by {@code status}
+ * @param data
+ *          buffers of the data alone, without header and tail
+ * @param tail
+ *          where status and, if agreed, time to come back go
+ * @param status
+ *          for a request without a kind
+ * @param id
+ *          whether it asks for the device's name, which goes to {@code data} */
+record BlockRequest(IoKind kind, long offset, long length, List<ByteBuffer> data, ByteBuffer tail,
+    byte status, boolean id) {
+  static final byte OK = 0, IOERR = 1, UNSUPP = 2;
+
+  /** Status of ours, see docs/ring-front.md: refused, again is harmless. */
+  static final byte REFUSED = (byte) 0x80;
+
+  /** Bytes of the tail where the refused status is agreed: status, three reserved, le32 time in ms. */
+  static final int LONG_TAIL = 8;
+
+  static final int ID_BYTES = 20;
+
+  private static final int IN = 0, OUT = 1, FLUSH = 4, GET_ID = 8, DISCARD = 11, WRITE_ZEROES = 13;
+  private static final int HEADER = 16, SEGMENT = 16;
+
+  /** Reads a chain; {@code tailBytes} is 1 or {@link #LONG_TAIL}. */
+  static BlockRequest read(Virtqueue.Chain chain, Volume volume, int tailBytes) {
+    List<ByteBuffer> in = chain.readable;
+    List<ByteBuffer> out = chain.writable;
+    byte[] header = take(in, HEADER, "request header: not " + HEADER + " readable bytes");
+    ByteBuffer h = ByteBuffer.wrap(header).order(ByteOrder.LITTLE_ENDIAN);
+    int type = h.getInt(0);
+    long sector = h.getLong(8);
+    ByteBuffer tail = tail(out, tailBytes);
+    long readable = size(in);
+    long writable = size(out);
+    return switch (type) {
+      case IN -> whole(IoKind.READ, sector, writable, out, tail, volume);
+      case OUT -> whole(IoKind.WRITE, sector, readable, in, tail, volume);
+      case FLUSH -> new BlockRequest(IoKind.FLUSH, 0, 0, List.of(), tail, OK, false);
+      case GET_ID -> new BlockRequest(null, 0, 0, out, tail, writable >= ID_BYTES ? OK : IOERR, true);
+      case DISCARD -> segment(IoKind.DISCARD, in, tail, volume);
+      case WRITE_ZEROES -> segment(IoKind.WRITE_ZEROES, in, tail, volume);
+      default -> refuse(tail, UNSUPP);
+    };
+  }
+
+  private static BlockRequest refuse(ByteBuffer tail, byte status) {
+    return new BlockRequest(null, 0, 0, List.of(), tail, status, false);
+  }
+
+  private static BlockRequest whole(IoKind kind, long sector, long length, List<ByteBuffer> data,
+      ByteBuffer tail, Volume volume) {
+    boolean fits = sector >= 0 && sector <= Long.MAX_VALUE / Volume.BLOCK && volume.holds(sector
+        * Volume.BLOCK, length);
+    return fits
+        ? new BlockRequest(kind, sector * Volume.BLOCK, length, data, tail, OK, false)
+        : refuse(tail, IOERR);
+  }
+
+  /** One segment, as the configuration's max_discard_seg and max_write_zeroes_seg say (5.2.6.1). */
+  private static BlockRequest segment(IoKind kind, List<ByteBuffer> in, ByteBuffer tail, Volume volume) {
+    if (size(in) != SEGMENT) {
+      return refuse(tail, size(in) > SEGMENT ? UNSUPP : IOERR);
+    }
+    ByteBuffer s = ByteBuffer.wrap(take(in, SEGMENT, "segment")).order(ByteOrder.LITTLE_ENDIAN);
+    int flags = s.getInt(12);
+    if ((flags & (kind == IoKind.DISCARD ? ~0 : ~1)) != 0) {
+      return refuse(tail, UNSUPP);
+    }
+    long length = Integer.toUnsignedLong(s.getInt(8)) * Volume.BLOCK;
+    return whole(kind, s.getLong(0), length, List.of(), tail, volume);
+  }
+
+  /** Cuts so many bytes off the front of a row of buffers. */
+  private static byte[] take(List<ByteBuffer> row, int n, String field) {
+    byte[] bytes = new byte[n];
+    int got = 0;
+    while (got < n) {
+      Violation.check(!row.isEmpty(), field);
+      ByteBuffer b = row.get(0);
+      int k = Math.min(n - got, b.remaining());
+      b.get(b.position(), bytes, got, k);
+      got += k;
+      if (k == b.remaining()) {
+        row.remove(0);
+      } else {
+        row.set(0, b.slice(b.position() + k, b.remaining() - k).order(ByteOrder.LITTLE_ENDIAN));
+      }
+    }
+    return bytes;
+  }
+
+  private static ByteBuffer tail(List<ByteBuffer> out, int n) {
+    Violation.check(!out.isEmpty(), "request status: no writable byte");
+    ByteBuffer last = out.remove(out.size() - 1);
+    Violation.check(last.remaining() >= n, "request status: the last buffer has fewer than " + n + " bytes");
+    if (last.remaining() > n) {
+      out.add(last.slice(0, last.remaining() - n).order(ByteOrder.LITTLE_ENDIAN));
+    }
+    return last.slice(last.remaining() - n, n).order(ByteOrder.LITTLE_ENDIAN);
+  }
+
+  private static long size(List<ByteBuffer> row) {
+    long n = 0;
+    for (ByteBuffer b : row) {
+      n += b.remaining();
+    }
+    return n;
+  }
+
+  /** Puts a name into the data buffers, padded with zeros. */
+  void name(String name) {
+    byte[] bytes = java.util.Arrays.copyOf(name.getBytes(java.nio.charset.StandardCharsets.UTF_8), ID_BYTES);
+    int at = 0;
+    for (ByteBuffer b : new ArrayList<>(data)) {
+      int n = Math.min(b.remaining(), ID_BYTES - at);
+      b.put(b.position(), bytes, at, n);
+      at += n;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/front/vhost/GuestMemory.java
@@ -0,0 +1,136 @@
+package hollyslip.front.vhost;
+
+import hollyslip.front.sys.Linux;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The client's memory as it has shared it: an immutable row of regions. A region is unmapped when neither a
+ * table nor a request holds it any more, so nothing can write to memory that is gone. */
+final class GuestMemory {
+  static final GuestMemory NONE = new GuestMemory(List.of());
+
+  /** Unmapping a large region takes the kernel a while; no thread that serves waits for it. */
+  private static final ExecutorService REAPER = Executors.newSingleThreadExecutor(r -> {
+    Thread t = new Thread(r, "unmapper");
+    t.setDaemon(true);
+    return t;
+  });
+
+  private static final int WHOLE_VIEW = Integer.MAX_VALUE;
+
+  /** One region, by the addresses of the message "memory region description". */
+  static final class Region {
+    final long guest, size, user;
+    private final long shift;
+    private final Linux.Mapping mapping;
+    private final ByteBuffer whole;
+    private final AtomicInteger holders = new AtomicInteger(1);
+
+    private Region(long guest, long size, long user, long offset, Linux.Mapping mapping) {
+      this.guest = guest;
+      this.size = size;
+      this.user = user;
+      this.shift = offset;
+      this.mapping = mapping;
+      whole = size <= WHOLE_VIEW ? mapping.view(offset, size) : null;
+    }
+
+    ByteBuffer view(long at, int length) {
+      ByteBuffer b = whole != null ? whole.slice((int) at, length) : mapping.view(shift + at, length);
+      return b.order(ByteOrder.LITTLE_ENDIAN);
+    }
+
+    void hold() {
+      holders.incrementAndGet();
+    }
+
+    void release() {
+      if (holders.decrementAndGet() == 0) {
+        REAPER.execute(mapping::unmap);
+      }
+    }
+  }
+
+  final List<Region> regions;
+
+  private GuestMemory(List<Region> regions) {
+    this.regions = List.copyOf(regions);
+  }
+
+  /** Maps a region of a file that the client sent. A file that is shorter than the region is turned down: a
+   * touch behind its end would be a SIGBUS. The descriptor stays the caller's. */
+  static Region map(long guest, long size, long user, long offset, int fd) {
+    Violation.check(size > 0 && offset >= 0 && offset <= Long.MAX_VALUE - size, "memory region: size " + size
+        + " at offset " + offset);
+    Violation.check(guest >= 0 && guest <= Long.MAX_VALUE - size && user >= 0 && user <= Long.MAX_VALUE
+        - size, "memory region: address out of range");
+    try {
+      Violation.check(Linux.size(fd) >= offset + size, "memory region: file shorter than offset + size");
+      return new Region(guest, size, user, offset, Linux.map(fd, 0, offset + size));
+    } catch (IOException e) {
+      throw new Violation("memory region: " + e.getMessage());
+    }
+  }
+
+  /** The table with one more region. */
+  GuestMemory with(Region added) {
+    for (Region r : regions) {
+      Violation.check(added.guest + added.size <= r.guest || r.guest + r.size <= added.guest,
+          "memory region: overlaps another");
+    }
+    List<Region> next = new ArrayList<>(regions);
+    next.add(added);
+    return new GuestMemory(next);
+  }
+
+  /** The table without a region; the caller releases it. */
+  GuestMemory without(Region gone) {
+    return new GuestMemory(regions.stream().filter(r -> r != gone).toList());
+  }
+
+  /** A view of memory by the client's own addresses: where rings lie. */
+  ByteBuffer byUser(long address, int length, String field) {
+    for (Region r : regions) {
+      if (address >= r.user && address - r.user <= r.size - length) {
+        return r.view(address - r.user, length);
+      }
+    }
+    throw new Violation(field + ": outside shared memory");
+  }
+
+  /** Adds views of a range of guest memory to {@code to} and the regions touched to {@code held}; a range may
+   * go on in the next region. */
+  void byGuest(long address, long length, List<ByteBuffer> to, List<Region> held) {
+    long at = address;
+    long left = length;
+    while (left > 0) {
+      Region r = find(at);
+      int n = (int) Math.min(left, r.size - (at - r.guest));
+      to.add(r.view(at - r.guest, n));
+      if (!held.contains(r)) {
+        held.add(r);
+      }
+      at += n;
+      left -= n;
+    }
+  }
+
+  private Region find(long address) {
+    for (Region r : regions) {
+      if (address >= r.guest && address - r.guest < r.size) {
+        return r;
+      }
+    }
+    throw new Violation("descriptor.addr: " + Long.toHexString(address) + " is outside shared memory");
+  }
+
+  void releaseAll() {
+    regions.forEach(Region::release);
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/front/vhost/Wire.java
@@ -0,0 +1,75 @@
+package hollyslip.front.vhost;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+
+/** Messages of the vhost-user protocol (QEMU documentation, "Vhost-user Protocol": "Message Specification",
+ * "Front-end message types") and numbers of virtio-blk (virtio 1.2, 5.2.3 and 5.2.4). Public, since ring
+ * clients speak it too. */
+public final class Wire {
+  public static final int GET_FEATURES = 1, SET_FEATURES = 2, SET_OWNER = 3, RESET_OWNER = 4;
+  public static final int SET_MEM_TABLE = 5, SET_VRING_NUM = 8, SET_VRING_ADDR = 9, SET_VRING_BASE = 10;
+  public static final int GET_VRING_BASE = 11, SET_VRING_KICK = 12, SET_VRING_CALL = 13, SET_VRING_ERR = 14;
+  public static final int GET_PROTOCOL_FEATURES = 15, SET_PROTOCOL_FEATURES = 16, GET_QUEUE_NUM = 17;
+  public static final int SET_VRING_ENABLE = 18, GET_CONFIG = 24, SET_CONFIG = 25, GET_INFLIGHT_FD = 31;
+  public static final int SET_INFLIGHT_FD = 32, GET_MAX_MEM_SLOTS = 36, ADD_MEM_REG = 37, REM_MEM_REG = 38;
+
+  public static final int VERSION = 1, REPLY = 4, NEED_REPLY = 8;
+  public static final int HEADER = 12;
+  /** Longest payload that is read, bytes: a memory table of eight regions is 264, a config message 268. */
+  public static final int MOST_PAYLOAD = 512;
+
+  public static final long F_INDIRECT = 1L << 28, F_EVENT_IDX = 1L << 29, F_PROTOCOL = 1L << 30;
+  public static final long F_VERSION_1 = 1L << 32;
+  public static final long BLK_SEG_MAX = 1L << 2, BLK_BLK_SIZE = 1L << 6, BLK_FLUSH = 1L << 9;
+  public static final long BLK_MQ = 1L << 12, BLK_DISCARD = 1L << 13, BLK_WRITE_ZEROES = 1L << 14;
+  /** Feature bit of ours in the device-specific range (virtio 1.2, 2.2: bits 50 to 127): refused requests get
+   * a status of their own and the time to come back; see docs/ring-front.md. */
+  public static final long BLK_REFUSED = 1L << 60;
+
+  public static final long P_MQ = 1, P_REPLY_ACK = 1L << 3, P_CONFIG = 1L << 9, P_INFLIGHT = 1L << 12;
+  public static final long P_MEM_SLOTS = 1L << 15;
+
+  /** A message as it stood on the socket; {@code payload} is little-endian, as on all machines we serve. */
+  public record Message(int request, int flags, ByteBuffer payload) {}
+
+  private Wire() {}
+
+  /** Takes one whole message off the front of {@code in}; null: it is not whole yet.
+   *
+   * @throws Violation
+   *           a version or a size that no message has */
+  static Message read(ByteBuffer in) {
+    if (in.remaining() < HEADER) {
+      return null;
+    }
+    int p = in.position();
+    int flags = in.getInt(p + 4);
+    int size = in.getInt(p + 8);
+    Violation.check((flags & 3) == VERSION, "message.flags: version " + (flags & 3));
+    Violation.check(size >= 0 && size <= MOST_PAYLOAD, "message.size: " + Integer.toUnsignedString(size));
+    if (in.remaining() < HEADER + size) {
+      return null;
+    }
+    byte[] payload = new byte[size];
+    in.get(p + HEADER, payload);
+    in.position(p + HEADER + size);
+    return new Message(in.getInt(p), flags, ByteBuffer.wrap(payload).order(ByteOrder.LITTLE_ENDIAN));
+  }
+
+  /** Bytes of a message. */
+  public static byte[] message(int request, int flags, byte[] payload) {
+    return ByteBuffer.allocate(HEADER + payload.length).order(ByteOrder.LITTLE_ENDIAN).putInt(request).putInt(
+        VERSION | flags).putInt(payload.length).put(payload).array();
+  }
+
+  /** A payload of one u64. */
+  public static byte[] u64(long value) {
+    return ByteBuffer.allocate(8).order(ByteOrder.LITTLE_ENDIAN).putLong(value).array();
+  }
+
+  /** A payload of two u32: "vring state description". */
+  public static byte[] state(int index, int number) {
+    return ByteBuffer.allocate(8).order(ByteOrder.LITTLE_ENDIAN).putInt(index).putInt(number).array();
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/load/RingClient.java
@@ -0,0 +1,419 @@
+package hollyslip.load;
+
+import hollyslip.front.sys.Linux;
+import hollyslip.front.vhost.Wire;
+import hollyslip.volume.IoKind;
+import java.io.IOException;
+import java.lang.invoke.VarHandle;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+
+/** A vhost-user-blk front end: shares memory with a gateway and asks it through split virtqueues. For one
+ * thread. Each queue has slots; a slot holds one request in three descriptors or in an indirect table. */
+public final class RingClient implements AutoCloseable {
+  private static final int PAGE = 4096, HEADER = 16, TAIL = 8, TABLE = 64;
+  private static final long GUEST = 0x1000_0000L, USER = 0x7000_0000_0000L;
+
+  /** What a client asks for.
+   *
+   * @param queues
+   *          queues
+   * @param size
+   *          descriptors of a queue, a power of two
+   * @param slotBytes
+   *          most bytes of one request's data
+   * @param indirect
+   *          whether requests go in indirect tables
+   * @param eventIdx
+   *          whether notifications are held back by index
+   * @param refused
+   *          whether refusals get a status of their own
+   * @param inflight
+   *          whether the gateway keeps what is in flight in our memory */
+  public record Options(int queues, int size, int slotBytes, boolean indirect, boolean eventIdx,
+      boolean refused, boolean inflight) {
+    public static Options usual(int queues, int size, int slotBytes) {
+      return new Options(queues, size, slotBytes, true, true, true, true);
+    }
+  }
+
+  /** Hears the end of a request. */
+  public interface Done {
+    /** {@code status} as of virtio-blk, or ours; {@code data} is the slot's memory, valid during the call. */
+    void done(int status, int retryMs, ByteBuffer data);
+  }
+
+  private final Options options;
+  private final int memory;
+  private final long memoryBytes;
+  private final Linux.Mapping mapping;
+  private final Queue[] queues;
+  private final Linux.Poll poll = new Linux.Poll();
+  private int socket = -1;
+  private int inflightFd = -1;
+  private byte[] inflightState;
+  private long features;
+
+  /** One queue's memory and what is out on it. */
+  public final class Queue {
+    final int index;
+    final long at;
+    public final ByteBuffer table, avail, used;
+    final int slots;
+    final Done[] out;
+    final int[] lengths;
+    final ArrayDeque<Integer> free = new ArrayDeque<>();
+    int kick = -1, call = -1;
+    int availIdx, usedIdx, kicked;
+
+    Queue(int index, long at) {
+      this.index = index;
+      this.at = at;
+      int n = options.size();
+      table = view(at, 16 * n);
+      avail = view(at + 16L * n, 6 + 2 * n);
+      used = view(usedAt(), 6 + 8 * n);
+      slots = options.indirect() ? n : n / 3;
+      out = new Done[slots];
+      lengths = new int[slots];
+      for (int i = 0; i < slots; i++) {
+        free.add(i);
+      }
+    }
+
+    long usedAt() {
+      int n = options.size();
+      return at + (16L * n + 6 + 2 * n + 3) / 4 * 4;
+    }
+
+    long slot(int s) {
+      return at + round(ringBytes(options.size())) + (long) s * slotStride();
+    }
+
+    /** Memory of a slot's data. */
+    public ByteBuffer data(int s) {
+      return view(slot(s) + TABLE + HEADER + TAIL, options.slotBytes());
+    }
+
+    /** Requests that are out. */
+    public int out() {
+      return slots - free.size();
+    }
+  }
+
+  private static int ringBytes(int n) {
+    return 16 * n + 6 + 2 * n + 4 + 6 + 8 * n;
+  }
+
+  private static long round(long n) {
+    return (n + PAGE - 1) / PAGE * PAGE;
+  }
+
+  private long slotStride() {
+    return (TABLE + HEADER + TAIL + options.slotBytes() + 63) / 64 * 64;
+  }
+
+  private ByteBuffer view(long at, int length) {
+    return mapping.view(at, length).order(ByteOrder.LITTLE_ENDIAN);
+  }
+
+  public RingClient(Options options) throws IOException {
+    this.options = options;
+    int slots = options.indirect() ? options.size() : options.size() / 3;
+    long queueBytes = round(ringBytes(options.size())) + round(slots * slotStride());
+    memoryBytes = queueBytes * options.queues();
+    memory = Linux.memfd("ring-client", memoryBytes);
+    mapping = Linux.map(memory, 0, memoryBytes);
+    queues = new Queue[options.queues()];
+    for (int i = 0; i < queues.length; i++) {
+      queues[i] = new Queue(i, i * queueBytes);
+    }
+  }
+
+  /** Attaches to a gateway; after a gateway's death attaches again with all that is still out. */
+  public void connect(Path path) throws IOException {
+    detach();
+    socket = Linux.connect(path);
+    long offered = ask(Wire.GET_FEATURES, new byte[0]).getLong();
+    features = offered & (Wire.F_PROTOCOL | Wire.F_VERSION_1 | Wire.BLK_FLUSH | Wire.BLK_MQ | Wire.BLK_DISCARD
+        | Wire.BLK_WRITE_ZEROES | (options.indirect() ? Wire.F_INDIRECT : 0) | (options.eventIdx()
+            ? Wire.F_EVENT_IDX
+            : 0) | (options.refused() ? Wire.BLK_REFUSED : 0));
+    long protocol = ask(Wire.GET_PROTOCOL_FEATURES, new byte[0]).getLong();
+    tell(Wire.SET_PROTOCOL_FEATURES, Wire.u64(protocol));
+    tell(Wire.SET_OWNER, new byte[0]);
+    tell(Wire.SET_FEATURES, Wire.u64(features));
+    if (options.inflight()) {
+      shareInflight();
+    }
+    ByteBuffer table = little(8 + 32).putInt(1).putInt(0).putLong(GUEST).putLong(memoryBytes).putLong(USER)
+        .putLong(0);
+    tell(Wire.SET_MEM_TABLE, table.array(), memory);
+    for (Queue q : queues) {
+      startQueue(q);
+    }
+  }
+
+  private void shareInflight() throws IOException {
+    ByteBuffer p = little(24).putLong(0).putLong(0).putShort((short) queues.length).putShort((short) options
+        .size());
+    if (inflightFd >= 0) {
+      tell(Wire.SET_INFLIGHT_FD, inflightState, inflightFd);
+      return;
+    }
+    send(Wire.GET_INFLIGHT_FD, 0, p.array());
+    Reply r = receive();
+    inflightFd = r.fd;
+    inflightState = r.payload.array();
+  }
+
+  private void startQueue(Queue q) throws IOException {
+    q.kick = Linux.eventfd();
+    q.call = Linux.eventfd();
+    tell(Wire.SET_VRING_NUM, Wire.state(q.index, options.size()));
+    // After a back end's death all that is not answered is asked again: the index of the used ring.
+    tell(Wire.SET_VRING_BASE, Wire.state(q.index, Short.toUnsignedInt(q.used.getShort(2))));
+    tell(Wire.SET_VRING_ADDR, little(40).putInt(q.index).putInt(0).putLong(USER + q.at).putLong(USER + q
+        .usedAt()).putLong(USER + q.at + 16L * options.size()).putLong(0).array());
+    tell(Wire.SET_VRING_CALL, Wire.u64(q.index), q.call);
+    tell(Wire.SET_VRING_KICK, Wire.u64(q.index), q.kick);
+    tell(Wire.SET_VRING_ENABLE, Wire.state(q.index, 1));
+    Linux.signal(q.kick);
+  }
+
+  private static ByteBuffer little(int n) {
+    return ByteBuffer.allocate(n).order(ByteOrder.LITTLE_ENDIAN);
+  }
+
+  private record Reply(ByteBuffer payload, int fd) {}
+
+  /** Sends a message that is acknowledged, and waits for that. */
+  public void tell(int request, byte[] payload, int... fds) throws IOException {
+    send(request, Wire.NEED_REPLY, payload, fds);
+    // Before the protocol's features are set nothing is acknowledged.
+    if (request != Wire.SET_PROTOCOL_FEATURES) {
+      long result = receive().payload.getLong();
+      if (result != 0) {
+        throw new IOException("message " + request + ": result " + result);
+      }
+    } else {
+      receive();
+    }
+  }
+
+  /** Sends a message that has a reply of its own; its payload. */
+  public ByteBuffer ask(int request, byte[] payload) throws IOException {
+    send(request, 0, payload);
+    return receive().payload;
+  }
+
+  /** Sends a message as it is. */
+  public void send(int request, int flags, byte[] payload, int... fds) throws IOException {
+    Linux.send(socket, Wire.message(request, flags, payload), fds);
+  }
+
+  /** Sends bytes as they are. */
+  public void sendRaw(byte[] bytes, int... fds) throws IOException {
+    Linux.send(socket, bytes, fds);
+  }
+
+  private Reply receive() throws IOException {
+    com.sun.jna.Memory m = new com.sun.jna.Memory(1024);
+    int have = 0;
+    int fd = -1;
+    int want = Wire.HEADER;
+    while (have < want) {
+      Linux.Poll p = new Linux.Poll();
+      p.add(socket);
+      p.await(10_000);
+      if (p.events(0) == 0) {
+        throw new IOException("no reply in 10 s");
+      }
+      Linux.Received r = Linux.receive(socket, m, have, want - have);
+      if (r.bytes() == -1) {
+        throw new IOException("the gateway closed the connection");
+      }
+      have += Math.max(0, r.bytes());
+      fd = r.fds().length > 0 ? r.fds()[0] : fd;
+      if (have == Wire.HEADER && want == Wire.HEADER) {
+        want += m.getInt(8);
+      }
+    }
+    return new Reply(ByteBuffer.wrap(m.getByteArray(Wire.HEADER, want - Wire.HEADER)).order(
+        ByteOrder.LITTLE_ENDIAN), fd);
+  }
+
+  public Queue queue(int i) {
+    return queues[i];
+  }
+
+  /** Puts a request into a queue; it is seen with the next {@link #kick}. False: no slot is free. For a write
+   * {@code data} is copied from its position on. */
+  public boolean submit(int queue, IoKind kind, long offset, int length, ByteBuffer data, Done done) {
+    Queue q = queues[queue];
+    Integer slot = q.free.poll();
+    if (slot == null) {
+      return false;
+    }
+    q.out[slot] = done;
+    q.lengths[slot] = length;
+    if (data != null) {
+      q.data(slot).put(0, data, data.position(), length);
+    }
+    int type = switch (kind) {
+      case READ -> 0;
+      case WRITE -> 1;
+      case FLUSH -> 4;
+      case DISCARD -> 11;
+      case WRITE_ZEROES -> 13;
+    };
+    int carried = length;
+    if (kind == IoKind.DISCARD || kind == IoKind.WRITE_ZEROES) {
+      q.data(slot).putLong(0, offset / 512).putInt(8, length / 512).putInt(12, 0);
+      carried = 16;
+      offset = 0;
+    }
+    post(q, slot, type, offset / 512, kind == IoKind.FLUSH ? 0 : carried, kind == IoKind.READ);
+    return true;
+  }
+
+  /** Puts a raw request into a slot: any type, with {@code length} bytes of data. */
+  public void post(Queue q, int slot, int type, long sector, int length, boolean into) {
+    long base = q.slot(slot);
+    ByteBuffer header = view(base + TABLE, HEADER + TAIL);
+    header.putInt(0, type).putInt(4, 0).putLong(8, sector).putLong(HEADER, -1L);
+    int first = options.indirect() ? slot : 3 * slot;
+    ByteBuffer table = options.indirect() ? view(base, TABLE) : q.table;
+    int d = options.indirect() ? 0 : first;
+    describe(table, d, GUEST + base + TABLE, HEADER, 1, d + 1);
+    int last = d + 1;
+    if (length > 0) {
+      describe(table, last, GUEST + base + TABLE + HEADER + TAIL, length, into ? 3 : 1, last + 1);
+      last++;
+    }
+    describe(table, last, GUEST + base + TABLE + HEADER, options.refused() ? TAIL : 1, 2, 0);
+    if (options.indirect()) {
+      describe(q.table, first, GUEST + base, 16 * (last + 1), 4, 0);
+    }
+    publish(q, first);
+  }
+
+  /** Writes one descriptor. */
+  public static void describe(ByteBuffer table, int i, long address, int length, int flags, int next) {
+    table.putLong(16 * i, address).putInt(16 * i + 8, length).putShort(16 * i + 12, (short) flags).putShort(16
+        * i + 14, (short) next);
+  }
+
+  /** Makes a head available. */
+  public void publish(Queue q, int head) {
+    q.avail.putShort(4 + 2 * (q.availIdx % options.size()), (short) head);
+    q.availIdx = q.availIdx + 1 & 0xffff;
+    VarHandle.releaseFence();
+    q.avail.putShort(2, (short) q.availIdx);
+  }
+
+  /** Tells the gateway of what is new, where it asked to be told. */
+  public void kick() {
+    for (Queue q : queues) {
+      if (q.kicked == q.availIdx) {
+        continue;
+      }
+      VarHandle.fullFence();
+      boolean wants;
+      if ((features & Wire.F_EVENT_IDX) != 0) {
+        int event = Short.toUnsignedInt(q.used.getShort(4 + 8 * options.size()));
+        wants = (q.availIdx - event - 1 & 0xffff) < (q.availIdx - q.kicked & 0xffff);
+      } else {
+        wants = (q.used.getShort(0) & 1) == 0;
+      }
+      q.kicked = q.availIdx;
+      if (wants) {
+        Linux.signal(q.kick);
+      }
+    }
+  }
+
+  /** Takes the answers that have come; how many. */
+  public int poll() {
+    int n = 0;
+    for (Queue q : queues) {
+      while (q.used.getShort(2) != (short) q.usedIdx) {
+        VarHandle.acquireFence();
+        int head = q.used.getInt(4 + 8 * (q.usedIdx % options.size()));
+        q.usedIdx = q.usedIdx + 1 & 0xffff;
+        int slot = options.indirect() ? head : head / 3;
+        ByteBuffer tail = view(q.slot(slot) + TABLE + HEADER, TAIL);
+        Done done = q.out[slot];
+        q.out[slot] = null;
+        ByteBuffer data = q.data(slot);
+        data.limit(q.lengths[slot]);
+        int status = Byte.toUnsignedInt(tail.get(0));
+        if (done == null) {
+          throw new IllegalStateException("head " + head + " answered twice");
+        }
+        done.done(status, options.refused() ? tail.getInt(4) : 0, data);
+        q.free.add(slot);
+        n++;
+      }
+    }
+    return n;
+  }
+
+  /** Waits until there may be answers, up to so many ms. False: the gateway closed the connection. */
+  public boolean await(int ms) {
+    poll.clear();
+    boolean ready = false;
+    for (Queue q : queues) {
+      if ((features & Wire.F_EVENT_IDX) != 0) {
+        q.avail.putShort(4 + 2 * options.size(), (short) q.usedIdx);
+      }
+      VarHandle.fullFence();
+      ready |= q.used.getShort(2) != (short) q.usedIdx;
+      poll.add(q.call);
+    }
+    poll.add(socket);
+    poll.await(ready ? 0 : ms);
+    for (int i = 0; i < queues.length; i++) {
+      if (poll.events(i) != 0) {
+        Linux.drain(queues[i].call);
+      }
+    }
+    return (poll.events(queues.length) & (Linux.POLLHUP | Linux.POLLERR)) == 0;
+  }
+
+  /** Requests that are out. */
+  public int out() {
+    return Arrays.stream(queues).mapToInt(Queue::out).sum();
+  }
+
+  /** Stops a queue; index of the next entry of its available ring. */
+  public int stop(int queue) throws IOException {
+    return ask(Wire.GET_VRING_BASE, Wire.state(queue, 0)).getInt(4);
+  }
+
+  /** Descriptor of the memory shared with the gateway. */
+  public int memoryFd() {
+    return memory;
+  }
+
+  /** Closes the connection at once and keeps all memory: a client that vanishes. */
+  public void detach() {
+    if (socket >= 0) {
+      Linux.closeAll(socket);
+      for (Queue q : queues) {
+        Linux.closeAll(q.kick, q.call);
+      }
+      socket = -1;
+    }
+  }
+
+  @Override
+  public void close() {
+    detach();
+    Linux.closeAll(memory, inflightFd);
+    mapping.unmap();
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -0,0 +1,323 @@
+package hollyslip.node;
+
+import hollyslip.HostScheduler.Result;
+import hollyslip.engine.Attempt;
+import hollyslip.engine.Engine;
+import hollyslip.engine.NodePort;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Executors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The nodes as the engine reaches them: a few connections each, made when they are needed, and what is left
+ * of those that ended. All state belongs to the engine's thread; connections tell it by letters. */
+public final class NodePool implements NodePort, NbdConnection.Owner {
+  private static final Logger LOG = LoggerFactory.getLogger(NodePool.class);
+
+  /** How a node is reached: its export is named after its shard. */
+  public record Address(long node, String name, InetSocketAddress at, String export) {}
+
+  /** What binds the pool.
+   *
+   * @param client
+   *          name of this gateway instance, for {@link Fence}
+   * @param epoch
+   *          grows with each start of it
+   * @param mostConnections
+   *          connections to one node at most
+   * @param mostOut
+   *          attempts on one connection at most
+   * @param connectTimeoutUs
+   *          a connection not ready after this has failed, us
+   * @param settleUs
+   *          how long a node without fences may still run what a dead connection brought, us */
+  public record Limits(String client, long epoch, int mostConnections, int mostOut, long connectTimeoutUs,
+      long settleUs) {}
+
+  /** Hears that a node was found to have started: {@code ageUs} ago, told apart by {@code boot}. */
+  public interface News {
+    /** Whether this start was not known before. */
+    boolean started(long node, long boot, long ageUs);
+
+    /** The module asks for the list. */
+    void wanted();
+  }
+
+  private final Engine engine;
+  private final Limits limits;
+  private final News news;
+  private final List<String> reportFields;
+  private final AsynchronousChannelGroup group;
+  private final Map<Long, Target> targets = new HashMap<>();
+  private final Set<NbdConnection> dirty = new java.util.LinkedHashSet<>();
+  private final Map<Attempt, NbdConnection> carriers = new java.util.IdentityHashMap<>();
+  private boolean closing;
+
+  /** A node and what this gateway has to do with it. */
+  private static final class Target {
+    Address address;
+    final List<NbdConnection> connections = new ArrayList<>();
+    /** Changes of dead connections that may still run there, by serial of the connection. */
+    final Map<Long, List<Attempt>> doubts = new LinkedHashMap<>();
+    long serials;
+  }
+
+  public NodePool(Engine engine, Limits limits, List<String> reportFields, News news, int threads)
+      throws IOException {
+    this.engine = engine;
+    this.limits = limits;
+    this.news = news;
+    this.reportFields = List.copyOf(reportFields);
+    group = AsynchronousChannelGroup.withFixedThreadPool(threads, r -> {
+      Thread t = Executors.defaultThreadFactory().newThread(r);
+      t.setName("node-io");
+      t.setDaemon(true);
+      return t;
+    });
+  }
+
+  /** Where nodes are from now on; on the engine's thread or before its start. A node no longer named keeps
+   * its connections until they end. */
+  public void addresses(List<Address> all) {
+    for (Address a : all) {
+      targets.computeIfAbsent(a.node(), k -> new Target()).address = a;
+    }
+  }
+
+  @Override
+  public void send(Attempt attempt) {
+    Target t = targets.get(attempt.node());
+    if (t == null || t.address == null || closing) {
+      engine.outcome(attempt, Result.CONNECT_FAILED, null);
+      return;
+    }
+    NbdConnection c = choose(t);
+    if (c == null) {
+      engine.outcome(attempt, Result.FULL, null);
+    } else if (c.add(attempt)) {
+      carriers.put(attempt, c);
+      dirty.add(c);
+    } else {
+      engine.outcome(attempt, Result.CONNECT_FAILED, null);
+    }
+  }
+
+  /** The ready connection with the least on it; another one only when that has half of what it may hold. A
+   * connection that is silent on something given up is passed over while there may be others: it guards
+   * against one that is stuck in the middle of a reply. Harm: a node that is merely slow is connected to more
+   * than once. */
+  private NbdConnection choose(Target t) {
+    NbdConnection best = null;
+    int least = Integer.MAX_VALUE;
+    for (NbdConnection c : t.connections) {
+      int size = c.size();
+      boolean stuck = c.silentFor(limits.connectTimeoutUs() * 1_000);
+      if (stuck && c.live() == 0) {
+        c.close("silent, and all on it given up");
+      } else if (size < least && !stuck) {
+        best = c;
+        least = size;
+      }
+    }
+    boolean crowded = best == null || best.isReady() && least >= limits.mostOut() / 2 && best.multi();
+    if (crowded && t.connections.size() < limits.mostConnections()) {
+      NbdConnection fresh = open(t);
+      best = best == null ? fresh : best;
+    }
+    return best == null || best.size() >= limits.mostOut() ? null : best;
+  }
+
+  private NbdConnection open(Target t) {
+    Set<Long> live = new TreeSet<>();
+    t.connections.forEach(c -> live.add(c.fence.serial()));
+    try {
+      NbdConnection c = new NbdConnection(group, t.address.node(), t.address.export(), new Fence(limits
+          .client(), limits.epoch(), ++t.serials, live), this);
+      t.connections.add(c);
+      engine.after(limits.connectTimeoutUs(), () -> {
+        if (!c.isReady()) {
+          c.close("not ready in time");
+        }
+      });
+      c.connect(t.address.at());
+      return c;
+    } catch (IOException e) {
+      LOG.warn("node.connection.failed node={} why={}", t.address.name(), e.getMessage());
+      return null;
+    }
+  }
+
+  @Override
+  public Withdrawn withdraw(Attempt attempt) {
+    NbdConnection c = carriers.get(attempt);
+    return c == null ? Withdrawn.ENDED : c.withdraw(attempt);
+  }
+
+  /** Closes the connection that carried the attempt, if it still lives, and makes another, whose negotiation
+   * is the fence. */
+  @Override
+  public void fence(Attempt attempt) {
+    Target t = targets.get(attempt.node());
+    NbdConnection c = carriers.get(attempt);
+    if (c != null) {
+      LOG.info("node.fenced node={} connection={} request={}", t.address.name(), c.fence.serial(), attempt
+          .request());
+      c.close("fenced: a newer write waits");
+    } else if (t != null && !t.doubts.isEmpty()) {
+      reopen(t);
+    }
+  }
+
+  @Override
+  public void probe(long node) {
+    Target t = targets.get(node);
+    for (NbdConnection c : t == null ? List.<NbdConnection>of() : t.connections) {
+      if (c.probe()) {
+        dirty.add(c);
+        return;
+      }
+    }
+    engine.probed(node, Result.CONNECT_FAILED, 0, null);
+  }
+
+  @Override
+  public void flush() {
+    if (!dirty.isEmpty()) {
+      dirty.forEach(NbdConnection::flush);
+      dirty.clear();
+    }
+  }
+
+  @Override
+  public void watch() {
+    news.wanted();
+  }
+
+  @Override
+  public void close() {
+    closing = true;
+    targets.values().forEach(t -> List.copyOf(t.connections).forEach(c -> c.close("the gateway ends")));
+    group.shutdown();
+  }
+
+  // Letters of the connections.
+
+  @Override
+  public void ready(NbdConnection c, long[] load) {
+    engine.execute(() -> opened(c, load));
+  }
+
+  private void opened(NbdConnection c, long[] load) {
+    Target t = targets.get(c.node);
+    LOG.debug("node.connected node={} connection={}", t.address.name(), c.fence.serial());
+    boolean fresh = load.length > 0 && news.started(c.node, load[Nbd.Load.BOOT.ordinal()],
+        load[Nbd.Load.AGE_MS.ordinal()] * 1_000);
+    if (fresh) {
+      // What waited was sent by the module to the process before: it decides anew for a cold one.
+      c.takeBack().forEach(a -> over(a, Result.MOOT));
+    }
+    if (c.fenced()) {
+      t.doubts.entrySet().removeIf(e -> {
+        boolean dead = e.getKey() < c.fence.serial() && !c.fence.live().contains(e.getKey());
+        if (dead) {
+          e.getValue().forEach(engine::resolved);
+        }
+        return dead;
+      });
+    }
+    c.flush();
+  }
+
+  @Override
+  public void ended(Attempt attempt, Result result) {
+    engine.execute(() -> over(attempt, result));
+  }
+
+  private void over(Attempt attempt, Result result) {
+    carriers.remove(attempt);
+    engine.outcome(attempt, result, null);
+  }
+
+  @Override
+  public void resolved(Attempt attempt) {
+    engine.execute(() -> {
+      carriers.remove(attempt);
+      engine.resolved(attempt);
+    });
+  }
+
+  @Override
+  public void probed(NbdConnection c, Result result, long tookUs, long[] load) {
+    List<Double> report = new ArrayList<>();
+    for (String field : reportFields) {
+      report.add(switch (field) {
+        case "inflight" -> (double) load[Nbd.Load.INFLIGHT.ordinal()];
+        case "queue" -> (double) load[Nbd.Load.QUEUE.ordinal()];
+        case "latency_ms" -> load[Nbd.Load.LATENCY_US.ordinal()] / 1e3;
+        default -> 0.0;
+      });
+    }
+    engine.probed(c.node, result, tookUs, report);
+  }
+
+  @Override
+  public void closed(NbdConnection c, String why, List<Attempt> waiting, List<Attempt> sent,
+      List<Attempt> silent) {
+    engine.execute(() -> lost(c, why, waiting, sent, silent));
+  }
+
+  private void lost(NbdConnection c, String why, List<Attempt> waiting, List<Attempt> sent,
+      List<Attempt> silent) {
+    Target t = targets.get(c.node);
+    t.connections.remove(c);
+    if (!closing) {
+      LOG.info("node.disconnected node={} connection={} waiting={} sent={} why={}", t.address.name(), c.fence
+          .serial(), waiting.size(), sent.size(), why);
+    }
+    waiting.forEach(a -> over(a, Result.CONNECT_FAILED));
+    List<Attempt> doubt = new ArrayList<>();
+    for (Attempt a : sent) {
+      over(a, Result.RESET);
+      doubt.add(a);
+    }
+    for (Attempt a : silent) {
+      carriers.remove(a);
+      doubt.add(a);
+    }
+    doubt.removeIf(a -> !a.kind().changes());
+    if (doubt.isEmpty() || closing) {
+      if (!t.doubts.isEmpty()) {
+        engine.after(limits.connectTimeoutUs(), () -> reopen(t));
+      }
+      return;
+    }
+    t.doubts.put(c.fence.serial(), doubt);
+    if (c.fenced()) {
+      reopen(t);
+    } else {
+      engine.after(limits.settleUs(), () -> {
+        if (t.doubts.remove(c.fence.serial(), doubt)) {
+          doubt.forEach(engine::resolved);
+        }
+      });
+    }
+  }
+
+  /** A connection made for its fence: newer writes may be waiting. */
+  private void reopen(Target t) {
+    long newest = t.doubts.keySet().stream().mapToLong(s -> s).max().orElse(0);
+    boolean underWay = t.connections.stream().anyMatch(c -> c.fence.serial() > newest);
+    if (!underWay && !closing && !t.doubts.isEmpty()) {
+      open(t);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -0,0 +1,637 @@
+package hollyslip.standin;
+
+import hollyslip.node.Fence;
+import hollyslip.node.Nbd;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.zip.CRC32;
+
+/** A small disk server on a loopback port that serves NBD to any client of that protocol, with exports
+ * {@code shard-N} in memory, service times and faults. It is a stand-in: for tests, demos and
+ * measurements. */
+public final class DiskServer implements AutoCloseable {
+  private static final int MOST_LENGTH = 32 << 20;
+
+  /** What it is built from.
+   *
+   * @param name
+   *          of the server
+   * @param shardBytes
+   *          size of each export, bytes
+   * @param model
+   *          its speed
+   * @param seed
+   *          of all that is drawn
+   * @param ageUs
+   *          how long it claims to have run at its first start, us
+   * @param speaksContexts
+   *          whether it knows the contexts of ours
+   * @param log
+   *          whether it keeps its commands */
+  public record Config(String name, long shardBytes, ServiceModel.Config model, long seed, long ageUs,
+      boolean speaksContexts, boolean log) {
+    /** A server without service times that started long ago. */
+    public static Config plain(String name, long shardBytes, boolean log) {
+      return new Config(name, shardBytes, ServiceModel.Config.PLAIN, 1, 3_600_000_000L, true, log);
+    }
+
+    /** One with cores, a queue and a mean time a command. */
+    public static Config timed(String name, long shardBytes, int cores, int queue, long baseUs, long seed) {
+      return new Config(name, shardBytes, new ServiceModel.Config(cores, queue, baseUs, 0, 0.3, 0.2,
+          5_000_000, 0, 0), seed, 3_600_000_000L, true, true);
+    }
+  }
+
+  public final Faults faults = new Faults();
+  private final Config config;
+  private final Map<String, Memory> exports = new ConcurrentHashMap<>();
+  private final ConcurrentLinkedQueue<Command> log = new ConcurrentLinkedQueue<>();
+  private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+  /** The newest fence of each client: what an older one killed, it kills too. */
+  private final Map<String, Fence> fences = new HashMap<>();
+  private final AtomicLong serials = new AtomicLong();
+  private final PriorityQueue<Job> jobs = new PriorityQueue<>();
+  private final SplittableRandom random;
+  private final int port;
+  private ServerSocket listener;
+  private ServiceModel model;
+  private volatile boolean up;
+  private volatile long boot;
+  private volatile long bornUs;
+  private volatile int held;
+
+  /** Data of an export; what was written stays over restarts. */
+  private final class Memory {
+    final ByteBuffer data;
+
+    Memory(long size) {
+      data = ByteBuffer.allocateDirect((int) size);
+    }
+  }
+
+  /** A command on its way. */
+  private record Job(long at, long order, Connection from, long cookie, int kind, long offset, int length,
+      byte[] payload, long receivedUs) implements Comparable<Job> {
+    @Override
+    public int compareTo(Job o) {
+      return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+    }
+  }
+
+  /** Starts on a free port of the loopback address. */
+  public DiskServer(Config config) throws IOException {
+    this.config = config;
+    this.random = new SplittableRandom(config.seed());
+    bornUs = now() - config.ageUs();
+    listener = listen(0);
+    port = listener.getLocalPort();
+    start();
+  }
+
+  private static ServerSocket listen(int port) throws IOException {
+    ServerSocket s = new ServerSocket();
+    s.setReuseAddress(true);
+    s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 64);
+    return s;
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000;
+  }
+
+  private void start() {
+    boot++;
+    up = true;
+    synchronized (jobs) {
+      model = new ServiceModel(config.model(), config.seed() + boot, bornUs);
+    }
+    ServerSocket from = listener;
+    daemon("standin-accept", () -> accept(from));
+    long mine = boot;
+    daemon("standin-work", () -> work(mine));
+  }
+
+  private void daemon(String name, Runnable task) {
+    Thread t = new Thread(task, name + "-" + config.name());
+    t.setDaemon(true);
+    t.start();
+  }
+
+  public InetSocketAddress address() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  public String name() {
+    return config.name();
+  }
+
+  /** Commands so far, in the order in which they ended. */
+  public List<Command> commands() {
+    return new ArrayList<>(log);
+  }
+
+  /** Bytes of an export, for comparison. */
+  public byte[] read(String export, long offset, int length) {
+    byte[] bytes = new byte[length];
+    memory(export).data.get((int) offset, bytes);
+    return bytes;
+  }
+
+  /** Serves nothing for so long. */
+  public void stall(long us) {
+    synchronized (jobs) {
+      model.stall(now() + us);
+    }
+  }
+
+  /** Takes so many times the usual time. */
+  public void slow(double factor) {
+    synchronized (jobs) {
+      model.slow(factor);
+    }
+  }
+
+  /** The process dies: connections are cut, what waits is lost. */
+  public void kill() {
+    up = false;
+    try {
+      listener.close();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+    connections.forEach(Connection::cut);
+    synchronized (jobs) {
+      jobs.clear();
+      held = 0;
+      jobs.notifyAll();
+    }
+  }
+
+  /** Comes up again, cold, on the same port, with the data that it had. */
+  public void restart() throws IOException {
+    if (up) {
+      kill();
+    }
+    bornUs = now();
+    synchronized (fences) {
+      fences.clear();
+    }
+    listener = listen(port);
+    start();
+  }
+
+  @Override
+  public void close() {
+    if (up) {
+      kill();
+    }
+  }
+
+  private Memory memory(String export) {
+    return exports.computeIfAbsent(export, k -> new Memory(config.shardBytes()));
+  }
+
+  private void accept(ServerSocket from) {
+    while (up) {
+      try {
+        Socket s = from.accept();
+        s.setTcpNoDelay(true);
+        Connection c = new Connection(s);
+        connections.add(c);
+        daemon("standin-conn", c::run);
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void work(long mine) {
+    while (up && boot == mine) {
+      Job job;
+      synchronized (jobs) {
+        job = jobs.peek();
+        long wait = job == null ? 100_000 : job.at - now();
+        if (wait > 0) {
+          try {
+            jobs.wait(wait / 1_000, (int) (wait % 1_000) * 1_000);
+          } catch (InterruptedException e) {
+            return;
+          }
+          continue;
+        }
+        jobs.poll();
+        held--;
+      }
+      finish(job);
+    }
+  }
+
+  /** A command has come in whole: turned away, swallowed, done at once or put in turn. */
+  private void arrived(Connection c, long cookie, int kind, long offset, int length, byte[] payload) {
+    long now = now();
+    Job job = new Job(now, 0, c, cookie, kind, offset, length, payload, now);
+    if (faults.silent) {
+      note(job, 0, 0, Command.Result.SWALLOWED);
+    } else if (faults.draining || faults.full) {
+      turnAway(job);
+    } else if (model.plain() && !(faults.lateWriteUs > 0 && kind == Nbd.CMD_WRITE)) {
+      finish(job);
+    } else {
+      queue(job, now);
+    }
+  }
+
+  private void queue(Job job, long now) {
+    long at;
+    synchronized (jobs) {
+      at = model.doneAt(now, job.length, held);
+      if (at >= 0) {
+        at += job.kind == Nbd.CMD_WRITE ? faults.lateWriteUs : 0;
+        jobs.add(new Job(at, serials.incrementAndGet(), job.from, job.cookie, job.kind, job.offset,
+            job.length, job.payload, job.receivedUs));
+        held++;
+        jobs.notifyAll();
+      }
+    }
+    if (at < 0) {
+      turnAway(job);
+    }
+  }
+
+  private void turnAway(Job job) {
+    note(job, 0, 0, Command.Result.FULL);
+    job.from.fail(job.cookie, faults.draining ? Nbd.ESHUTDOWN : Nbd.ENOMEM, faults.draining
+        ? ""
+        : Nbd.MESSAGE_FULL);
+  }
+
+  private void finish(Job job) {
+    double chance;
+    synchronized (random) {
+      chance = random.nextDouble();
+    }
+    if (chance < faults.errors) {
+      note(job, 0, 0, Command.Result.ERROR);
+      job.from.fail(job.cookie, Nbd.EIO, "");
+      return;
+    }
+    long done;
+    byte[] data;
+    // Under the fences' monitor: a fence that stands means that nothing older has an effect after it.
+    synchronized (fences) {
+      Fence newest = job.from.fence == null ? null : fences.get(job.from.fence.client());
+      if (newest != null && newest.kills(job.from.fence)) {
+        note(job, 0, 0, Command.Result.FENCED);
+        return;
+      }
+      data = apply(job);
+      done = now();
+    }
+    boolean lost = chance < faults.errors + faults.loseAnswers;
+    note(job, done, config.log() ? crc(data != null ? data : job.payload) : 0, lost
+        ? Command.Result.DONE_SILENTLY
+        : Command.Result.DONE);
+    if (!lost) {
+      job.from.answer(job, data, chance >= 1 - faults.resets);
+    }
+  }
+
+  private byte[] apply(Job job) {
+    ByteBuffer data = job.from.memory.data;
+    switch (job.kind) {
+      case Nbd.CMD_READ -> {
+        byte[] bytes = new byte[job.length];
+        data.get((int) job.offset, bytes);
+        return bytes;
+      }
+      case Nbd.CMD_WRITE -> data.put((int) job.offset, job.payload);
+      case Nbd.CMD_TRIM, Nbd.CMD_WRITE_ZEROES -> data.put((int) job.offset, new byte[job.length]);
+      default -> {}
+    }
+    return null;
+  }
+
+  private static long crc(byte[] bytes) {
+    CRC32 crc = new CRC32();
+    if (bytes != null) {
+      crc.update(bytes);
+    }
+    return crc.getValue();
+  }
+
+  private void note(Job job, long done, long checksum, Command.Result result) {
+    if (config.log()) {
+      Fence f = job.from.fence;
+      log.add(new Command(config.name(), boot, f == null ? "" : f.client() + "/" + f.epoch(), job.from.serial,
+          job.cookie, job.kind, job.offset, job.length, job.receivedUs, done, checksum, result));
+    }
+  }
+
+  /** One client's connection: negotiation, then commands. */
+  private final class Connection {
+    private final Socket socket;
+    private final DataInputStream in;
+    private final OutputStream out;
+    private final long serial = serials.incrementAndGet();
+    private final Map<Integer, String> contexts = new HashMap<>();
+    private boolean structured;
+    private volatile Thread reader;
+    private Memory memory;
+    private Fence fence;
+
+    Connection(Socket socket) throws IOException {
+      this.socket = socket;
+      in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 1 << 16));
+      out = new java.io.BufferedOutputStream(socket.getOutputStream(), 1 << 16);
+    }
+
+    void cut() {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // Cut is what was wanted.
+        connections.remove(this);
+      }
+    }
+
+    void run() {
+      reader = Thread.currentThread();
+      try {
+        if (negotiate()) {
+          serve();
+        }
+      } catch (IOException e) {
+        // The peer is gone or was cut off; its queued commands go on, as those of a real server may.
+        connections.remove(this);
+      } finally {
+        connections.remove(this);
+        cut();
+      }
+    }
+
+    private boolean negotiate() throws IOException {
+      ByteBuffer hello = ByteBuffer.allocate(18).putLong(Nbd.MAGIC).putLong(Nbd.IHAVEOPT).putShort(
+          (short) (Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES));
+      send(hello.array());
+      int flags = in.readInt();
+      while (true) {
+        if (in.readLong() != Nbd.IHAVEOPT) {
+          return false;
+        }
+        int option = in.readInt();
+        int length = in.readInt();
+        if (length < 0 || length > Nbd.MOST_OPTION) {
+          return false;
+        }
+        byte[] data = in.readNBytes(length);
+        if (option == Nbd.OPT_EXPORT_NAME) {
+          memory = memory(new String(data, StandardCharsets.UTF_8));
+          ByteBuffer b = ByteBuffer.allocate((flags & Nbd.FLAG_NO_ZEROES) != 0 ? 10 : 134);
+          send(b.putLong(config.shardBytes()).putShort(flags()).array());
+          return true;
+        }
+        if (option == Nbd.OPT_ABORT) {
+          reply(option, Nbd.REP_ACK, new byte[0]);
+          return false;
+        }
+        if (option(option, ByteBuffer.wrap(data))) {
+          return true;
+        }
+      }
+    }
+
+    private short flags() {
+      return (short) (Nbd.HAS_FLAGS | Nbd.SEND_FLUSH | Nbd.SEND_TRIM | Nbd.SEND_WRITE_ZEROES
+          | Nbd.CAN_MULTI_CONN);
+    }
+
+    private boolean option(int option, ByteBuffer d) throws IOException {
+      switch (option) {
+        case Nbd.OPT_STRUCTURED_REPLY -> { structured = true; reply(option, Nbd.REP_ACK, new byte[0]); }
+        case Nbd.OPT_LIST -> {
+          for (String name : exports.keySet()) {
+            byte[] n = name.getBytes(StandardCharsets.UTF_8);
+            reply(option, Nbd.REP_SERVER, ByteBuffer.allocate(4 + n.length).putInt(n.length).put(n).array());
+          }
+          reply(option, Nbd.REP_ACK, new byte[0]);
+        }
+        case Nbd.OPT_SET_META_CONTEXT -> setContexts(option, d);
+        case Nbd.OPT_INFO, Nbd.OPT_GO -> {
+          String name = text(d);
+          if (name == null) {
+            reply(option, Nbd.REP_ERR_INVALID, new byte[0]);
+            return false;
+          }
+          Memory m = memory(name);
+          reply(option, Nbd.REP_INFO, ByteBuffer.allocate(12).putShort((short) Nbd.INFO_EXPORT).putLong(config
+              .shardBytes()).putShort(flags()).array());
+          reply(option, Nbd.REP_ACK, new byte[0]);
+          if (option == Nbd.OPT_GO) {
+            memory = m;
+            return true;
+          }
+        }
+        default -> reply(option, Nbd.REP_ERR_UNSUP, new byte[0]);
+      }
+      return false;
+    }
+
+    private void setContexts(int option, ByteBuffer d) throws IOException {
+      contexts.clear();
+      String export = text(d);
+      if (export == null || d.remaining() < 4) {
+        reply(option, Nbd.REP_ERR_INVALID, new byte[0]);
+        return;
+      }
+      int queries = d.getInt();
+      for (int i = 0; i < queries && d.hasRemaining(); i++) {
+        String query = text(d);
+        Fence f = query == null || !config.speaksContexts() ? null : Fence.parse(query);
+        if (f != null) {
+          synchronized (fences) {
+            fence = f;
+            fences.merge(f.client(), f, (a, b) -> a.epoch() > b.epoch() || a.epoch() == b.epoch() && a
+                .serial() > b.serial() ? a : b);
+          }
+        }
+        if (f != null || config.speaksContexts() && Nbd.CONTEXT_LOAD.equals(query)) {
+          int id = f != null ? 2 : 1;
+          contexts.put(id, query);
+          byte[] name = query.getBytes(StandardCharsets.US_ASCII);
+          reply(option, Nbd.REP_META_CONTEXT, ByteBuffer.allocate(4 + name.length).putInt(id).put(name)
+              .array());
+        }
+      }
+      reply(option, Nbd.REP_ACK, new byte[0]);
+    }
+
+    private String text(ByteBuffer d) {
+      if (d.remaining() < 4) {
+        return null;
+      }
+      int n = d.getInt();
+      if (n < 0 || n > d.remaining()) {
+        return null;
+      }
+      byte[] bytes = new byte[n];
+      d.get(bytes);
+      return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private void reply(int option, int type, byte[] data) throws IOException {
+      send(ByteBuffer.allocate(20 + data.length).putLong(Nbd.OPTION_REPLY).putInt(option).putInt(type).putInt(
+          data.length).put(data).array());
+    }
+
+    private void serve() throws IOException {
+      flush();
+      while (true) {
+        if (in.readInt() != Nbd.REQUEST) {
+          return;
+        }
+        in.readUnsignedShort();
+        int kind = in.readUnsignedShort();
+        long cookie = in.readLong();
+        long offset = in.readLong();
+        int length = in.readInt();
+        if (kind == Nbd.CMD_DISC) {
+          return;
+        }
+        boolean bounded = length >= 0 && (length <= MOST_LENGTH || kind == Nbd.CMD_TRIM
+            || kind == Nbd.CMD_WRITE_ZEROES);
+        if (!bounded && kind == Nbd.CMD_WRITE) {
+          return;
+        }
+        byte[] payload = kind == Nbd.CMD_WRITE ? in.readNBytes(length) : null;
+        if (payload != null && payload.length < length) {
+          return;
+        }
+        if (kind == Nbd.CMD_BLOCK_STATUS) {
+          status(cookie, offset);
+        } else if (!bounded || kind > Nbd.CMD_WRITE_ZEROES || offset < 0 || offset > config.shardBytes()
+            - length) {
+          fail(cookie, Nbd.EINVAL, "");
+        } else {
+          arrived(this, cookie, kind, offset, length, payload);
+        }
+        if (in.available() == 0) {
+          flush();
+        }
+      }
+    }
+
+    private void status(long cookie, long offset) throws IOException {
+      if (contexts.isEmpty()) {
+        fail(cookie, Nbd.EINVAL, "");
+        return;
+      }
+      Integer last = contexts.keySet().stream().max(Integer::compare).orElseThrow();
+      for (int id : new java.util.TreeSet<>(contexts.keySet())) {
+        long[] values = id == 1
+            ? new long[]{config.seed() * 31 + boot, Math.min(0xffffffffL, (now() - bornUs) / 1_000), held,
+                held, config.model().baseUs()}
+            : new long[]{0};
+        ByteBuffer b = ByteBuffer.allocate(20 + 4 + 8 * values.length);
+        b.putInt(Nbd.STRUCTURED_REPLY).putShort((short) (id == last ? Nbd.CHUNK_DONE : 0)).putShort(
+            (short) Nbd.CHUNK_BLOCK_STATUS).putLong(cookie).putInt(4 + 8 * values.length).putInt(id);
+        for (long v : values) {
+          b.putInt(Nbd.LOAD_STEP).putInt((int) v);
+        }
+        send(b.array());
+      }
+      flush();
+    }
+
+    void fail(long cookie, int error, String message) {
+      byte[] m = message.getBytes(StandardCharsets.UTF_8);
+      ByteBuffer b;
+      if (structured) {
+        b = ByteBuffer.allocate(26 + m.length).putInt(Nbd.STRUCTURED_REPLY).putShort((short) Nbd.CHUNK_DONE)
+            .putShort((short) Nbd.CHUNK_ERROR).putLong(cookie).putInt(6 + m.length).putInt(error).putShort(
+                (short) m.length).put(m);
+      } else {
+        b = ByteBuffer.allocate(16).putInt(Nbd.SIMPLE_REPLY).putInt(error).putLong(cookie);
+      }
+      push(b.array());
+    }
+
+    void answer(Job job, byte[] data, boolean reset) {
+      byte[] reply = reply(job, data);
+      int half = faults.halfReply;
+      if (half > 0 && data != null) {
+        faults.halfReply = 0;
+        push(java.util.Arrays.copyOf(reply, half));
+      } else if (reset) {
+        push(java.util.Arrays.copyOf(reply, reply.length / 2));
+        cut();
+      } else {
+        push(reply);
+        if (faults.malice == Faults.Malice.TWICE) {
+          push(reply);
+        }
+      }
+    }
+
+    private byte[] reply(Job job, byte[] data) {
+      Faults.Malice malice = faults.malice;
+      long cookie = malice == Faults.Malice.UNKNOWN_COOKIE ? ~job.cookie : job.cookie;
+      int n = data == null ? 0 : data.length;
+      int claimed = malice == Faults.Malice.OVERSIZE ? n + 512 : n;
+      if (!structured) {
+        return ByteBuffer.allocate(16 + n).putInt(Nbd.SIMPLE_REPLY).putInt(0).putLong(cookie).put(data == null
+            ? new byte[0]
+            : data).array();
+      }
+      int magic = malice == Faults.Malice.BAD_MAGIC ? 0x12345678 : Nbd.STRUCTURED_REPLY;
+      ByteBuffer b = ByteBuffer.allocate(20 + (data == null ? 0 : 8 + claimed));
+      b.putInt(magic).putShort((short) Nbd.CHUNK_DONE).putShort((short) (data == null
+          ? Nbd.CHUNK_NONE
+          : Nbd.CHUNK_DATA)).putLong(cookie).putInt(data == null ? 0 : 8 + claimed);
+      if (data != null) {
+        b.putLong(malice == Faults.Malice.WRONG_OFFSET ? job.offset + 1 : job.offset).put(data);
+      }
+      return b.array();
+    }
+
+    /** Sends from any thread; a peer that is gone needs nothing. */
+    private void push(byte[] bytes) {
+      try {
+        send(bytes);
+        if (Thread.currentThread() != reader) {
+          flush();
+        }
+      } catch (IOException e) {
+        cut();
+      }
+    }
+
+    private synchronized void send(byte[] bytes) throws IOException {
+      out.write(bytes);
+      if (memory == null) {
+        out.flush();
+      }
+    }
+
+    private synchronized void flush() throws IOException {
+      out.flush();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/standin/Faults.java
@@ -0,0 +1,41 @@
+package hollyslip.standin;
+
+/** What goes wrong at a disk server at present; changed while it runs. All parts are chances from 0 to 1. */
+public final class Faults {
+  /** Takes commands and does nothing with them. */
+  public volatile boolean silent;
+  /** Refuses new work with ESHUTDOWN. */
+  public volatile boolean draining;
+  /** Answers as if its queue were full. */
+  public volatile boolean full;
+  /** Does the work, throws the answer away. */
+  public volatile double loseAnswers;
+  /** Answers with EIO without doing the work. */
+  public volatile double errors;
+  /** Cuts the connection in the middle of a reply. */
+  public volatile double resets;
+  /** Writes are done this much later than they should be and go on when their connection is gone, us. */
+  public volatile long lateWriteUs;
+  /** Sends so many bytes of the next read's reply and then nothing more; 0: off. */
+  public volatile int halfReply;
+  /** The next replies go wrong on purpose. */
+  public volatile Malice malice = Malice.NONE;
+
+  /** Ways to break the protocol. */
+  public enum Malice {
+    NONE, UNKNOWN_COOKIE, TWICE, OVERSIZE, BAD_MAGIC, WRONG_OFFSET
+  }
+
+  /** Ends all faults. */
+  public void clear() {
+    silent = false;
+    draining = false;
+    full = false;
+    loseAnswers = 0;
+    errors = 0;
+    resets = 0;
+    lateWriteUs = 0;
+    halfReply = 0;
+    malice = Malice.NONE;
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/standin/ServiceModel.java
@@ -0,0 +1,88 @@
+package hollyslip.standin;
+
+import java.util.SplittableRandom;
+
+/** How long a disk server takes: cores that serve one command each, a queue with a bound in turn of arrival,
+ * a cold start, pauses and a factor for slow days. Free of I/O and clock; drawn from a seed. Not safe for
+ * several threads. */
+final class ServiceModel {
+  /** What it is built from.
+   *
+   * @param cores
+   *          commands served at once; 0: all at once, without any time
+   * @param queue
+   *          commands that may wait
+   * @param baseUs
+   *          work of a command, us
+   * @param perKibUs
+   *          work of each KiB more, us
+   * @param spread
+   *          part by which the work varies, up and down
+   * @param coldFrom
+   *          part of its speed at a start
+   * @param coldUs
+   *          time until it is warm, us
+   * @param pauseEveryUs
+   *          between two pauses, us; 0: none
+   * @param pauseUs
+   *          length of a pause, us */
+  record Config(int cores, int queue, long baseUs, long perKibUs, double spread, double coldFrom, long coldUs,
+      long pauseEveryUs, long pauseUs) {
+    static final Config PLAIN = new Config(0, Integer.MAX_VALUE, 0, 0, 0, 1, 0, 0, 0);
+  }
+
+  private final Config config;
+  private final SplittableRandom random;
+  private final long[] freeAt;
+  private final long bornUs;
+  private double slow = 1;
+  private long stalledUntil;
+
+  ServiceModel(Config config, long seed, long bornUs) {
+    this.config = config;
+    this.random = new SplittableRandom(seed);
+    this.bornUs = bornUs;
+    freeAt = new long[Math.max(1, config.cores())];
+  }
+
+  boolean plain() {
+    return config.cores() == 0 && stalledUntil == 0 && slow == 1;
+  }
+
+  void slow(double factor) {
+    slow = factor;
+  }
+
+  /** Serves nothing until then. */
+  void stall(long until) {
+    stalledUntil = until;
+  }
+
+  /** When a command of so many bytes that comes now is done, or -1: the queue is full. {@code held}: those
+   * that it holds already. */
+  long doneAt(long now, long bytes, int held) {
+    if (config.cores() > 0 && held >= config.cores() + config.queue()) {
+      return -1;
+    }
+    int core = 0;
+    for (int i = 1; i < freeAt.length; i++) {
+      core = freeAt[i] < freeAt[core] ? i : core;
+    }
+    long start = Math.max(Math.max(now, stalledUntil), config.cores() == 0 ? 0 : freeAt[core]);
+    if (config.pauseEveryUs() > 0 && (start - bornUs) % config.pauseEveryUs() < config.pauseUs()) {
+      start += config.pauseUs() - (start - bornUs) % config.pauseEveryUs();
+    }
+    double work = (config.baseUs() + config.perKibUs() * bytes / 1024.0) * (1 + config.spread() * (2 * random
+        .nextDouble() - 1)) * slow / speed(start);
+    freeAt[core] = start + (long) work;
+    return freeAt[core];
+  }
+
+  private double speed(long at) {
+    if (config.coldUs() <= 0) {
+      return 1;
+    }
+    double age = Math.max(0, Math.min(1, (double) (at - bornUs) / config.coldUs()));
+    return config.coldFrom() + (1 - config.coldFrom()) * age;
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/volume/Volume.java
@@ -0,0 +1,68 @@
+package hollyslip.volume;
+
+import java.util.List;
+
+/** A volume: a row of extents of one size, each on a shard. Immutable; a change makes a new value.
+ *
+ * @param id
+ *          the number under which the module knows the volume
+ * @param name
+ *          name, unique in the deployment
+ * @param tenant
+ *          whose it is
+ * @param plan
+ *          name of the plan it stands on
+ * @param hosts
+ *          through how many gateways its requests come
+ * @param bytes
+ *          size, bytes, a multiple of {@link #BLOCK}
+ * @param extentBytes
+ *          size of an extent, bytes, a multiple of {@link #BLOCK}
+ * @param extents
+ *          where each extent lies, in order */
+public record Volume(long id, String name, String tenant, String plan, int hosts, long bytes,
+    long extentBytes, List<Extent> extents) {
+  /** Bytes of a block, the unit of addresses: virtio 1.2, 5.2.4 ("capacity ... in 512-byte sectors"). */
+  public static final int BLOCK = 512;
+
+  /** Where an extent lies: {@code offset} bytes into the shard's data. */
+  public record Extent(int shard, long offset) {
+    public Extent {
+      if (shard < 0) {
+        throw new IllegalArgumentException("extent.shard: must be at least 0, not " + shard);
+      }
+      if (offset < 0 || offset % BLOCK != 0) {
+        throw new IllegalArgumentException("extent.offset: must be a multiple of " + BLOCK + ", not "
+            + offset);
+      }
+    }
+  }
+
+  public Volume {
+    if (name == null || name.isEmpty()) {
+      throw new IllegalArgumentException("volume.name: is missing");
+    }
+    if (hosts < 1) {
+      throw new IllegalArgumentException("volume.hosts: must be at least 1, not " + hosts);
+    }
+    if (bytes <= 0 || bytes % BLOCK != 0) {
+      throw new IllegalArgumentException("volume.bytes: must be a multiple of " + BLOCK + ", not " + bytes);
+    }
+    if (extentBytes <= 0 || extentBytes % BLOCK != 0) {
+      throw new IllegalArgumentException("volume.extentBytes: must be a multiple of " + BLOCK + ", not "
+          + extentBytes);
+    }
+    extents = List.copyOf(extents);
+    long needed = (bytes + extentBytes - 1) / extentBytes;
+    if (extents.size() != needed) {
+      throw new IllegalArgumentException("volume.extents: " + needed + " are needed for " + bytes
+          + " bytes, not " + extents.size());
+    }
+  }
+
+  /** Whether a range of bytes lies inside the volume, on block boundaries. */
+  public boolean holds(long offset, long length) {
+    return offset >= 0 && length > 0 && offset % BLOCK == 0 && length % BLOCK == 0 && offset <= bytes
+        && length <= bytes - offset;
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/e2e/Site.java
@@ -0,0 +1,91 @@
+package hollyslip.e2e;
+
+import hollyslip.HostScheduler.Allowed;
+import hollyslip.HostScheduler.Effect;
+import hollyslip.HostScheduler.Group;
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.HostScheduler.Plan;
+import hollyslip.HostScheduler.RequestClass;
+import hollyslip.HostScheduler.Rules;
+import hollyslip.HostScheduler.Store;
+import hollyslip.cli.Gateway;
+import hollyslip.settings.Deployment;
+import hollyslip.standin.DiskServer;
+import hollyslip.volume.Classifier;
+import hollyslip.volume.IoKind;
+import hollyslip.volume.Volume;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/** A small deployment on loopback for tests: stand-ins, settings that point at them, gateways. */
+final class Site implements AutoCloseable {
+  static final long EXTENT = 64 * 1024, SHARD_BYTES = 16 << 20, VOLUME_BYTES = 4 << 20;
+
+  final List<DiskServer> disks = new ArrayList<>();
+  final List<Gateway> gateways = new ArrayList<>();
+  final Path dir;
+  long deadlineUs = 2_000_000;
+  long coldUs = 5_000_000;
+  int hosts = 1;
+  Plan limited = new Plan("limited", 2_000, 1_000, 1, 1, 4_000, 400, 40);
+
+  Site(Path dir, int nodes) throws IOException {
+    this(dir, nodes, i -> DiskServer.Config.plain("disk-" + i, SHARD_BYTES, true));
+  }
+
+  Site(Path dir, int nodes, java.util.function.IntFunction<DiskServer.Config> config) throws IOException {
+    this.dir = dir;
+    for (int i = 0; i < nodes; i++) {
+      disks.add(new DiskServer(config.apply(i)));
+    }
+  }
+
+  static Volume volume(long id, String name, String plan, int nodes, int hosts) {
+    List<Volume.Extent> extents = new ArrayList<>();
+    for (int i = 0; i < VOLUME_BYTES / EXTENT; i++) {
+      int shard = i % nodes;
+      extents.add(new Volume.Extent(shard, (id - 1) * VOLUME_BYTES + i / nodes * EXTENT));
+    }
+    return new Volume(id, name, "tenant-" + id, plan, hosts, VOLUME_BYTES, EXTENT, extents);
+  }
+
+  Deployment deployment(String name, int index, List<Integer> draining) {
+    List<RequestClass> classes = List.of(new RequestClass("read", Effect.SAFE, Group.ALL, 0, 250_000,
+        deadlineUs, 2, 0.2, false, false), new RequestClass("write", Effect.UNSAFE, Group.CELL, 0, 250_000,
+            deadlineUs, 2, 0.2, false, true));
+    List<Classifier.Row> rows = List.of(new Classifier.Row("read", Set.of(IoKind.READ), Long.MAX_VALUE),
+        new Classifier.Row("write", Set.of(IoKind.WRITE, IoKind.FLUSH, IoKind.DISCARD, IoKind.WRITE_ZEROES),
+            Long.MAX_VALUE));
+    List<Deployment.Node> nodes = new ArrayList<>();
+    for (int i = 0; i < disks.size(); i++) {
+      nodes.add(new Deployment.Node(100 + i, disks.get(i).name(), "127.0.0.1", disks.get(i).address()
+          .getPort(), "a", i, draining.contains(i) ? NodeState.DRAINING : NodeState.ON));
+    }
+    List<Volume> volumes = List.of(volume(1, "stock", "gold", disks.size(), hosts), volume(2, "orders",
+        "gold", disks.size(), hosts), volume(3, "capped", "limited", disks.size(), hosts));
+    return new Deployment(new Deployment.Process(name, index, hosts, "a", dir.resolve(name), dir.resolve(name
+        + "-state"), 7, 1_000, 4096, 10_000, 256 << 20, 2, 256, 2, false), classes, rows, List.of(new Plan(
+            "gold", 1e6, 1e5, 3, 1, 0, 0, 0), limited), new Rules(8_000, 1_000_000, 0.2, coldUs, 3, 2_000_000,
+                300_000, 0.5, 20, 5_000_000, 0), new Allowed(4, false, false, false, true, 500_000, 250_000),
+        new Store(1, 256, 200, 0.4, 0.1, 0, false), nodes, volumes);
+  }
+
+  Gateway gateway() throws IOException {
+    return gateway("gw-" + gateways.size(), gateways.size());
+  }
+
+  Gateway gateway(String name, int index) throws IOException {
+    Gateway g = new Gateway(deployment(name, index, List.of()));
+    gateways.add(g);
+    return g;
+  }
+
+  @Override
+  public void close() {
+    gateways.forEach(Gateway::close);
+    disks.forEach(DiskServer::close);
+  }
+}
