--- /dev/null
+++ b/src/main/java/hollyslip/audit/Auditor.java
@@ -0,0 +1,331 @@
+package hollyslip.audit;
+
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.node.Nbd;
+import hollyslip.standin.Command;
+import hollyslip.standin.Command.Result;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Checks the seven rules from what went over the sockets, as both ends recorded it: clients what they asked
+ * and were answered, disk servers what reached them, the operator what was told to whom. Nothing that a
+ * gateway says of itself is used, but for the cookie by which a node's command belongs to a request; where
+ * writes bear bytes of their own, the bytes are what counts. Free of I/O and clock. */
+public final class Auditor {
+  /** A rule as the users number them. */
+  public enum Rule {
+    ONE_ANSWER, NO_EFFECT_TWICE, DRAINS_KEPT, NO_COLD_NODE_PUSHED, ORDER_KEPT, BUDGET_KEPT, LIMITS_KEPT
+  }
+
+  /** One breach. */
+  public record Breach(Rule rule, String what) {
+    @Override
+    public String toString() {
+      return rule + ": " + what;
+    }
+  }
+
+  /** What an audit found: breaches, and over how much it looked by rule. */
+  public record Report(List<Breach> breaches, Map<Rule, Long> checked) {
+    public boolean kept() {
+      return breaches.isEmpty();
+    }
+  }
+
+  private final Figures figures;
+  private final List<Asked> asked;
+  private final List<Command> commands;
+  private final List<Told> told;
+  private final List<Breach> breaches = new ArrayList<>();
+  private final Map<Rule, Long> checked = new TreeMap<>();
+
+  private Auditor(Figures figures, List<Asked> asked, List<Command> commands, List<Told> told) {
+    this.figures = figures;
+    this.asked = asked.stream().sorted(Comparator.comparingLong(Asked::askedUs)).toList();
+    this.commands = commands.stream().sorted(Comparator.comparingLong(Command::receivedUs)).toList();
+    this.told = told;
+  }
+
+  /** Audits a run that is over. */
+  public static Report check(Figures figures, List<Asked> asked, List<Command> commands, List<Told> told) {
+    Auditor a = new Auditor(figures, asked, commands, told);
+    for (Rule r : Rule.values()) {
+      a.checked.put(r, 0L);
+    }
+    a.answers();
+    a.effects();
+    a.drains();
+    a.cold();
+    a.order();
+    a.budget();
+    a.limits();
+    return new Report(a.breaches, a.checked);
+  }
+
+  private void breach(Rule rule, String what) {
+    breaches.add(new Breach(rule, what));
+  }
+
+  private void saw(Rule rule) {
+    checked.merge(rule, 1L, Long::sum);
+  }
+
+  private static String name(Asked a) {
+    return a.client() + "/" + a.id() + " (" + a.volume() + " " + a.offset() + "+" + a.length() + ")";
+  }
+
+  /** Rule 1: one final answer before the client's time ends. */
+  private void answers() {
+    for (Asked a : asked) {
+      saw(Rule.ONE_ANSWER);
+      if (a.answers() > 1) {
+        breach(Rule.ONE_ANSWER, name(a) + " has " + a.answers() + " answers");
+      } else if (a.answers() == 0 && !a.left()) {
+        breach(Rule.ONE_ANSWER, name(a) + " has no answer");
+      } else if (a.answers() == 1 && a.answeredUs() > a.deadlineUs() + figures.answerSlackUs()) {
+        breach(Rule.ONE_ANSWER, name(a) + " was answered " + (a.answeredUs() - a.deadlineUs())
+            + " us after its client's time");
+      }
+    }
+  }
+
+  /** Rule 2: a write has its effect once; a refused one never; an answered one did have it. Writes of one
+   * checksum and length are one write: clients make their bytes unique. One that a gateway does again after
+   * it was killed is the same attempt as far as its client knows, if nothing newer came between. */
+  private void effects() {
+    Map<String, List<Command>> done = new HashMap<>();
+    for (Command c : commands) {
+      if (c.kind() == Nbd.CMD_WRITE && c.doneUs() > 0) {
+        done.computeIfAbsent(c.checksum() + "+" + c.length(), k -> new ArrayList<>()).add(c);
+      }
+    }
+    for (Asked a : asked) {
+      if (a.kind() != Nbd.CMD_WRITE) {
+        continue;
+      }
+      saw(Rule.NO_EFFECT_TWICE);
+      List<Command> effects = done.getOrDefault(a.checksum() + "+" + a.length(), List.of());
+      Set<String> processes = new HashSet<>();
+      for (Command c : effects) {
+        if (!processes.add(c.client())) {
+          breach(Rule.NO_EFFECT_TWICE, name(a) + " had its effect twice, sent by " + c.client() + " to " + c
+              .node());
+        }
+      }
+      if (a.answer() == Asked.Answer.REFUSED && !effects.isEmpty()) {
+        breach(Rule.NO_EFFECT_TWICE, name(a) + " was refused though it had its effect at " + effects.get(0)
+            .node());
+      }
+      if (a.answer() == Asked.Answer.SERVED && effects.isEmpty() && whole(a)) {
+        breach(Rule.NO_EFFECT_TWICE, name(a) + " was served without an effect");
+      }
+      if (a.answers() > 0) {
+        effects.stream().filter(c -> c.doneUs() > a.answeredUs()).findFirst().ifPresent(c -> lateEffect(a,
+            c));
+      }
+    }
+  }
+
+  /** Whether a request reached its node as one command: those cut in pieces have no checksum of the whole. */
+  private boolean whole(Asked a) {
+    return commands.stream().noneMatch(c -> c.kind() == Nbd.CMD_WRITE && c.length() < a.length() && c
+        .doneUs() >= a.askedUs() && c.doneUs() <= a.answeredUs());
+  }
+
+  /** An effect after the answer must not land on a newer write that was answered before it. */
+  private void lateEffect(Asked a, Command late) {
+    for (Command newer : commands) {
+      boolean same = newer.node().equals(late.node()) && newer.offset() < late.offset() + late.length()
+          && late.offset() < newer.offset() + newer.length();
+      if (same && newer != late && newer.kind() == Nbd.CMD_WRITE && newer.result() == Result.DONE && newer
+          .receivedUs() > a.answeredUs() && newer.doneUs() < late.doneUs()) {
+        breach(Rule.NO_EFFECT_TWICE, name(a) + " landed at " + late.node()
+            + " after a newer write to its blocks");
+        return;
+      }
+    }
+  }
+
+  /** Rule 3: nothing new to a node later than the grace after its gateway was told that it drains. */
+  private void drains() {
+    for (Told t : told) {
+      if (!(t instanceof Told.State s) || s.state() == NodeState.ON) {
+        continue;
+      }
+      long until = told.stream().filter(x -> x instanceof Told.State y && y.node().equals(s.node()) && y
+          .gateway().equals(s.gateway()) && y.state() == NodeState.ON && y.atUs() > s.atUs()).mapToLong(
+              Told::atUs).min().orElse(Long.MAX_VALUE);
+      for (Command c : commands) {
+        boolean mine = c.node().equals(s.node()) && c.client().startsWith(s.gateway() + "/");
+        if (mine && c.receivedUs() > s.atUs()) {
+          saw(Rule.DRAINS_KEPT);
+          if (c.receivedUs() > s.atUs() + figures.drainGraceUs() && c.receivedUs() < until) {
+            breach(Rule.DRAINS_KEPT, s.gateway() + " sent to " + s.node() + " " + (c.receivedUs() - s.atUs())
+                + " us after it was told that it is " + s.state());
+          }
+        }
+      }
+    }
+  }
+
+  private double units(Command c) {
+    boolean data = c.kind() == Nbd.CMD_READ || c.kind() == Nbd.CMD_WRITE;
+    return data
+        ? Math.max(1, Math.min(figures.mostUnits(), (c.length() + figures.unitBytes() - 1) / figures
+            .unitBytes()))
+        : 1;
+  }
+
+  /** Rule 4: within any window, all gateways together send a cold node no more than it always bears. */
+  private void cold() {
+    for (Told t : told) {
+      if (!(t instanceof Told.Born b)) {
+        continue;
+      }
+      ArrayDeque<Command> window = new ArrayDeque<>();
+      double sum = 0;
+      for (Command c : commands) {
+        if (!c.node().equals(b.node()) || c.receivedUs() < b.atUs() || c.receivedUs() > b.atUs() + figures
+            .coldUs()) {
+          continue;
+        }
+        saw(Rule.NO_COLD_NODE_PUSHED);
+        window.add(c);
+        sum += units(c);
+        while (window.peek().receivedUs() <= c.receivedUs() - figures.fallUs()) {
+          sum -= units(window.poll());
+        }
+        double age = Math.min(1, (double) (c.receivedUs() - b.atUs()) / figures.coldUs());
+        if (sum > figures.coldUnits() * (figures.coldFrom() + (1 - figures.coldFrom()) * age) / figures
+            .coldFrom()) {
+          breach(Rule.NO_COLD_NODE_PUSHED, b.node() + " got " + sum + " units in " + figures.fallUs()
+              + " us, " + (c.receivedUs() - b.atUs()) + " us after its start");
+          break;
+        }
+      }
+    }
+  }
+
+  /** Rule 5: requests with one key run one at a time, in the order in which they were asked. */
+  private void order() {
+    Map<Long, List<Asked>> lines = new HashMap<>();
+    asked.stream().filter(a -> a.key() >= 0).forEach(a -> lines.computeIfAbsent(a.key(),
+        k -> new ArrayList<>()).add(a));
+    Map<String, List<Command>> byBytes = new HashMap<>();
+    commands.stream().filter(c -> c.kind() == Nbd.CMD_WRITE).forEach(c -> byBytes.computeIfAbsent(c.checksum()
+        + "+" + c.length(), k -> new ArrayList<>()).add(c));
+    for (List<Asked> line : lines.values()) {
+      long before = 0;
+      Asked last = null;
+      for (Asked a : line) {
+        saw(Rule.ORDER_KEPT);
+        List<Command> mine = byBytes.getOrDefault(a.checksum() + "+" + a.length(), List.of());
+        long first = mine.stream().mapToLong(Command::receivedUs).min().orElse(Long.MAX_VALUE);
+        if (first < before) {
+          breach(Rule.ORDER_KEPT, name(a) + " was sent while " + name(last) + " before it was not over");
+        }
+        for (Command c : mine) {
+          long over = c.doneUs() > 0
+              ? c.doneUs()
+              : c.result() == Result.SWALLOWED ? c.receivedUs() + figures.settleUs() : c.receivedUs();
+          if (over > before) {
+            before = over;
+            last = a;
+          }
+        }
+      }
+    }
+  }
+
+  /** Rule 6: attempts beyond a request's first, within any window, by gateway process. */
+  private void budget() {
+    if (figures.budgetWindowUs() <= 0) {
+      return;
+    }
+    Map<String, List<Command>> byClient = new HashMap<>();
+    commands.stream().filter(c -> !c.client().isEmpty()).forEach(c -> byClient.computeIfAbsent(c.client(),
+        k -> new ArrayList<>()).add(c));
+    byClient.forEach((client, sent) -> budget(client, sent));
+  }
+
+  private void budget(String client, List<Command> sent) {
+    String gateway = client.substring(0, client.lastIndexOf('/'));
+    long[] asks = asked.stream().filter(a -> a.gateway().equals(gateway)).mapToLong(Asked::askedUs).toArray();
+    Set<Long> seen = new HashSet<>();
+    ArrayDeque<Long> further = new ArrayDeque<>();
+    for (Command c : sent) {
+      saw(Rule.BUDGET_KEPT);
+      if (seen.add(c.cookie() >> 12)) {
+        continue;
+      }
+      further.add(c.receivedUs());
+      while (further.peek() < c.receivedUs() - figures.budgetWindowUs()) {
+        further.poll();
+      }
+      long taken = upTo(asks, c.receivedUs()) - upTo(asks, c.receivedUs() - figures.budgetWindowUs());
+      double allowed = figures.budgetFree() + figures.budgetShare() * taken;
+      if (further.size() > allowed) {
+        breach(Rule.BUDGET_KEPT, client + " made " + further.size() + " further attempts in " + figures
+            .budgetWindowUs() + " us with " + taken + " requests taken");
+        return;
+      }
+    }
+  }
+
+  /** How many of the sorted times are at or before {@code at}. */
+  private static int upTo(long[] times, long at) {
+    int i = Arrays.binarySearch(times, at);
+    if (i < 0) {
+      return -i - 1;
+    }
+    while (i < times.length && times[i] == at) {
+      i++;
+    }
+    return i;
+  }
+
+  /** Rule 7: one store a volume for all gateways, whatever restarts; it pays for each request once, when its
+   * first command reaches a node. */
+  private void limits() {
+    for (Map.Entry<String, Figures.Limit> e : figures.limits().entrySet()) {
+      Figures.Limit limit = e.getValue();
+      List<Long> at = new ArrayList<>();
+      List<Double> cost = new ArrayList<>();
+      Set<String> paid = new HashSet<>();
+      for (Command c : commands) {
+        if (volume(c).equals(e.getKey()) && paid.add(c.client() + "/" + (c.cookie() >> 12))) {
+          at.add(c.receivedUs());
+          cost.add(units(c));
+        }
+      }
+      double level = limit.burst();
+      for (int i = 0; i < at.size(); i++) {
+        saw(Rule.LIMITS_KEPT);
+        level = Math.min(limit.burst(), level + (i == 0
+            ? 0
+            : limit.rate() * (at.get(i) - at.get(i - 1)) / 1e6)) - cost.get(i);
+        if (level < -limit.slack()) {
+          breach(Rule.LIMITS_KEPT, e.getKey() + " is " + -level + " units below its limit's store");
+          break;
+        }
+      }
+    }
+  }
+
+  private String volume(Command c) {
+    for (Figures.Area a : figures.areas()) {
+      if (a.export().equals(c.export()) && c.offset() >= a.from() && c.offset() < a.to()) {
+        return a.volume();
+      }
+    }
+    return "";
+  }
+}
--- a/src/main/java/hollyslip/standin/Command.java
+++ b/src/main/java/hollyslip/standin/Command.java
@@ -25,8 +25,8 @@
  *          when it had its effect; 0: never
  * @param result
  *          what came of it */
-public record Command(String node, long boot, String client, long connection, long cookie, int kind,
-    long offset, long length, long receivedUs, long doneUs, long checksum, Result result) {
+public record Command(String node, long boot, String client, long connection, long cookie, String export,
+    int kind, long offset, long length, long receivedUs, long doneUs, long checksum, Result result) {
   /** What came of it. */
   public enum Result {
     /** Done and answered. */
--- a/src/main/java/hollyslip/standin/DiskServer.java
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -80,9 +80,11 @@
 
   /** Data of an export; what was written stays over restarts. */
   private final class Memory {
+    final String name;
     final ByteBuffer data;
 
-    Memory(long size) {
+    Memory(String name, long size) {
+      this.name = name;
       data = ByteBuffer.allocateDirect((int) size);
     }
   }
@@ -206,7 +208,7 @@
   }
 
   private Memory memory(String export) {
-    return exports.computeIfAbsent(export, k -> new Memory(config.shardBytes()));
+    return exports.computeIfAbsent(export, k -> new Memory(k, config.shardBytes()));
   }
 
   private void accept(ServerSocket from) {
@@ -341,7 +343,8 @@
     if (config.log()) {
       Fence f = job.from.fence;
       log.add(new Command(config.name(), boot, f == null ? "" : f.client() + "/" + f.epoch(), job.from.serial,
-          job.cookie, job.kind, job.offset, job.length, job.receivedUs, done, checksum, result));
+          job.cookie, job.from.memory.name, job.kind, job.offset, job.length, job.receivedUs, done, checksum,
+          result));
     }
   }
 
--- /dev/null
+++ b/src/test/java/hollyslip/audit/AuditorTest.java
@@ -0,0 +1,171 @@
+package hollyslip.audit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.audit.Auditor.Rule;
+import hollyslip.node.Nbd;
+import hollyslip.standin.Command;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A run that keeps the rules passes; one violation planted for each rule is found, and found alone. */
+class AuditorTest {
+  private static final Figures FIGURES = new Figures(8_000, 1_000_000, 300_000, 20, 0.5, 5_000_000, 2_000_000,
+      2, 0.1, 5_000_000, 4096, 16, Map.of("v", new Figures.Limit(100, 20, 2)), List.of(new Figures.Area("v",
+          "shard-0", 0, 1 << 20)));
+  private final List<Asked> asked = new ArrayList<>();
+  private final List<Command> commands = new ArrayList<>();
+  private final List<Told> told = new ArrayList<>();
+
+  @BeforeEach
+  void aGoodRun() {
+    told.add(new Told.Started("g", 0));
+    told.add(new Told.Born("n", 9_000_000));
+    told.add(new Told.State("g", "n", NodeState.DRAINING, 30_000_000));
+    for (int i = 0; i < 40; i++) {
+      long at = 100_000L * (i + 1);
+      ask(i, at, at + 10_000, Asked.Answer.SERVED, i % 4);
+      command(i, at + 5_000, at + 6_000);
+    }
+    ask(90, 10_000_000, 10_010_000, Asked.Answer.SERVED, -1);
+    command(90, 10_005_000, 10_006_000);
+  }
+
+  private void ask(long id, long at, long answered, Asked.Answer answer, long key) {
+    asked.add(new Asked("c", "g", "v", id, Nbd.CMD_WRITE, 4096 * id, 4096, 1, key, 1000 + id, at, at
+        + 2_000_000, 1, answered, answer, false));
+  }
+
+  private void command(long id, long received, long done) {
+    command(id, received, done, 0, Command.Result.DONE);
+  }
+
+  private void command(long id, long received, long done, int attempt, Command.Result result) {
+    commands.add(new Command("n", 1, "g/1", 1, id << 12 | attempt, "shard-0", Nbd.CMD_WRITE, 4096 * id, 4096,
+        received, done, 1000 + id, result));
+  }
+
+  private Auditor.Report check() {
+    return Auditor.check(FIGURES, asked, commands, told);
+  }
+
+  private void only(Rule rule) {
+    Auditor.Report r = check();
+    assertTrue(!r.breaches().isEmpty() && r.breaches().stream().allMatch(b -> b.rule() == rule), r.breaches()
+        .toString());
+  }
+
+  private void replace(int i, Asked a) {
+    asked.set(i, a);
+  }
+
+  private static Asked with(Asked a, int answers, long answered, Asked.Answer answer) {
+    return new Asked(a.client(), a.gateway(), a.volume(), a.id(), a.kind(), a.offset(), a.length(), a.units(),
+        a.key(), a.checksum(), a.askedUs(), a.deadlineUs(), answers, answered, answer, a.left());
+  }
+
+  @Test
+  void aRunThatKeepsTheRulesPasses() {
+    Auditor.Report r = check();
+    assertEquals(List.of(), r.breaches());
+    assertEquals(0, r.checked().get(Rule.DRAINS_KEPT));
+    assertEquals(41, r.checked().get(Rule.ONE_ANSWER));
+  }
+
+  @Test
+  void anAnswerTwiceLateOrMissing() {
+    Asked a = asked.get(5);
+    for (Asked bad : List.of(with(a, 2, a.answeredUs(), a.answer()), with(a, 0, 0, Asked.Answer.NONE), with(a,
+        1, a.deadlineUs() + 8_001, a.answer()))) {
+      replace(5, bad);
+      only(Rule.ONE_ANSWER);
+    }
+  }
+
+  @Test
+  void anEffectTwiceARefusalWithOneOrALateOne() {
+    command(5, 900_000, 901_000, 0, Command.Result.DONE);
+    only(Rule.NO_EFFECT_TWICE);
+    commands.remove(commands.size() - 1);
+    replace(5, with(asked.get(5), 1, asked.get(5).answeredUs(), Asked.Answer.REFUSED));
+    only(Rule.NO_EFFECT_TWICE);
+  }
+
+  @Test
+  void aWriteThatLandsAfterANewerOne() {
+    // Number 5 was given up at 610 ms; 200 wrote its blocks and was answered; then 5 landed.
+    commands.removeIf(c -> c.cookie() >> 12 == 5);
+    replace(5, with(asked.get(5), 1, 610_000, Asked.Answer.FAILED));
+    asked.add(new Asked("c", "g", "v", 200, Nbd.CMD_WRITE, 4096 * 5, 4096, 1, -1, 7, 5_000_000, 7_000_000, 1,
+        5_010_000, Asked.Answer.SERVED, false));
+    commands.add(new Command("n", 1, "g/1", 1, 200 << 12, "shard-0", Nbd.CMD_WRITE, 4096 * 5, 4096, 5_001_000,
+        5_002_000, 7, Command.Result.DONE));
+    assertEquals(List.of(), check().breaches());
+    commands.add(new Command("n", 1, "g/1", 1, 5 << 12, "shard-0", Nbd.CMD_WRITE, 4096 * 5, 4096, 605_000,
+        5_100_000, 1005, Command.Result.DONE));
+    assertTrue(check().breaches().stream().anyMatch(b -> b.rule() == Rule.NO_EFFECT_TWICE && b.what()
+        .contains("newer write")), check().breaches().toString());
+  }
+
+  @Test
+  void aSendToADrainingNode() {
+    ask(95, 30_900_000, 31_100_000, Asked.Answer.SERVED, -1);
+    command(95, 31_000_000, 31_000_100);
+    assertEquals(List.of(), check().breaches());
+    ask(96, 30_900_000, 31_100_000, Asked.Answer.SERVED, -1);
+    command(96, 31_000_001, 31_000_100);
+    only(Rule.DRAINS_KEPT);
+  }
+
+  @Test
+  void tooMuchForAColdNode() {
+    for (int i = 100; i < 130; i++) {
+      ask(i, 9_000_000 + (i - 99) * 50_000, 11_000_000, Asked.Answer.SERVED, -1);
+      command(i, 9_001_000 + (i - 99) * 50_000, 10_999_000);
+    }
+    only(Rule.NO_COLD_NODE_PUSHED);
+  }
+
+  @Test
+  void aLimitPassed() {
+    for (int i = 100; i < 125; i++) {
+      ask(i, 20_000_000, 20_100_000, Asked.Answer.SERVED, -1);
+      command(i, 20_001_000, 20_002_000);
+    }
+    only(Rule.LIMITS_KEPT);
+  }
+
+  @Test
+  void keysOutOfTurn() {
+    // Request 9 follows request 5 in the line of key 1.
+    commands.removeIf(c -> c.cookie() >> 12 == 9);
+    command(9, 605_500, 1_006_000);
+    only(Rule.ORDER_KEPT);
+  }
+
+  @Test
+  void tooManyFurtherAttempts() {
+    for (int attempt = 1; attempt < 8; attempt++) {
+      command(3, 405_000 + attempt, 0, attempt, Command.Result.FULL);
+    }
+    only(Rule.BUDGET_KEPT);
+  }
+
+  @Test
+  void recordsSurviveAFolder(@TempDir Path dir) throws Exception {
+    replace(5, with(asked.get(5), 2, 610_000, Asked.Answer.SERVED));
+    Witness.figures(dir, FIGURES);
+    Witness.asked(dir, "c", asked);
+    Witness.commands(dir, "n", commands);
+    Witness.told(dir, "op", told);
+    assertEquals(check().breaches(), Witness.audit(dir).breaches());
+    assertEquals(1, check().breaches().size());
+  }
+}
