--- /dev/null
+++ b/src/main/java/hollyslip/cli/Days.java
@@ -0,0 +1,34 @@
+package hollyslip.cli;
+
+import hollyslip.load.Day;
+import hollyslip.load.DayRunner;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+
+/** Plays a day and prints what came of it: what demo and replay share. */
+final class Days {
+  private Days() {}
+
+  static int play(Day day, Path dir) throws IOException, InterruptedException {
+    Path records = dir == null ? Files.createTempDirectory("hollyslip-day-") : dir;
+    System.out.println("records and logs: " + records);
+    DayRunner.Result r = new DayRunner(day, records, System.out).play();
+    System.out.println();
+    System.out.printf("%-12s %10s%n", "answer", "requests");
+    r.answers().forEach((a, n) -> System.out.printf("%-12s %10d%n", a.name().toLowerCase(Locale.ROOT), n));
+    System.out.println();
+    System.out.printf("%-20s %8s %9s %9s %9s   served, ms%n", "plan, kind", "served", "p50", "p99", "p99.9");
+    r.latency().forEach((key, h) -> System.out.printf(Locale.ROOT, "%-20s %8d %9.2f %9.2f %9.2f%n", key, h
+        .getTotalCount(), h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h
+            .getValueAtPercentile(99.9) / 1e3));
+    System.out.println();
+    boolean kept = AuditCommand.print(r.audit());
+    r.wrongReads().stream().limit(10).forEach(w -> System.out.println("  wrong read: " + w));
+    System.out.printf("reads that contradict what was answered before: %d%n", r.wrongReads().size());
+    System.out.println(r.stoppedCleanly() ? "gateways stopped cleanly" : "a gateway did not stop cleanly");
+    System.out.println(r.kept() && kept ? "all rules kept" : "NOT all rules kept");
+    return r.kept() ? Main.DONE : Main.FAILED;
+  }
+}
--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -25,7 +25,7 @@
 import org.slf4j.LoggerFactory;
 
 /** One gateway, put together from its settings. */
-public final class Gateway implements AutoCloseable {
+public final class Gateway {
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
 
   /** Longest command that nodes take: the NBD protocol's limit without a block size constraint is 32 MiB. */
@@ -56,8 +56,8 @@
     for (Volume v : deployment.volumes()) {
       fronts.add(new VhostServer(engine, v.name(), socket(v.name())));
     }
-    LOG.info("gateway.started name={} epoch={} volumes={} nodes={}", p.name(), epoch, deployment.volumes()
-        .size(), deployment.nodes().size());
+    LOG.atInfo().addKeyValue("name", p.name()).addKeyValue("epoch", epoch).addKeyValue("volumes", deployment
+        .volumes().size()).addKeyValue("nodes", deployment.nodes().size()).log("gateway.started");
   }
 
   private static List<NodePool.Address> addresses(Deployment d) {
@@ -75,7 +75,7 @@
     public boolean started(long node, long boot, long ageUs) {
       boolean fresh = membership.started(node, boot, ageUs, Engine.clock());
       if (fresh) {
-        LOG.info("node.started node={} age_ms={}", node, ageUs / 1_000);
+        LOG.atInfo().addKeyValue("node", node).addKeyValue("age_ms", ageUs / 1_000).log("node.started");
       }
       return fresh;
     }
@@ -91,7 +91,7 @@
     List<NodePool.Address> addresses = addresses(next);
     engine.execute(() -> pool.addresses(addresses));
     membership.replace(listed(next));
-    LOG.info("nodes.replaced nodes={}", next.nodes().size());
+    LOG.atInfo().addKeyValue("nodes", next.nodes().size()).log("nodes.replaced");
   }
 
   /** Socket of a volume. */
@@ -112,16 +112,22 @@
     return engine.stop().whenComplete((done, error) -> fronts.forEach(VhostServer::close));
   }
 
-  /** Stops and waits, but no longer than the longest time that a client waits. */
-  @Override
-  public void close() {
+  /** Has this called when the engine ends, wanted or not. */
+  public void onFault(Runnable listener) {
+    engine.ended().whenComplete((done, error) -> listener.run());
+  }
+
+  /** Stops and waits, but no longer than the longest time that a client waits. Whether all was answered. */
+  public boolean close() {
     long most = deployment.classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0);
     try {
       stop().get(most * 2 + 1_000_000, TimeUnit.MICROSECONDS);
+      return true;
     } catch (ExecutionException | TimeoutException e) {
-      LOG.error("gateway.stop", e);
+      LOG.atError().setCause(e).log("gateway.stop");
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    return false;
   }
 }
--- a/src/main/java/hollyslip/cli/Main.java
+++ b/src/main/java/hollyslip/cli/Main.java
@@ -2,17 +2,45 @@
 
 import hollyslip.WireHost;
 import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.AutoComplete.GenerateCompletion;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.HelpCommand;
 
-/** Entry of the jar. {@code wirehost} is started often and by many, so it loads nothing else. */
-public final class Main {
-  private Main() {}
+/** Entry of the jar. */
+@Command(name = "hollyslip", mixinStandardHelpOptions = true, version = "hollyslip 0.2.0", description = "A storage gateway that schedules a host's reads and writes across storage nodes.", subcommands = {
+    ServeCommand.class, CheckCommand.class, DemoCommand.class, ReplayCommand.class, RingCommand.class,
+    StandinCommand.class, AuditCommand.class, BenchCommand.class, Main.Wire.class, GenerateCompletion.class,
+    HelpCommand.class}, exitCodeListHeading = "%nExit codes:%n", exitCodeList = {
+        "0:done; for demo, replay and audit: all rules kept",
+        "1:something failed; for demo, replay and audit: a rule was broken",
+        "2:the command line, the settings or the input are wrong"}, footerHeading = "%n", footer = "Settings are described in docs/settings.md, operation in docs/operators.md.")
+public final class Main implements Callable<Integer> {
+  static final int DONE = 0, FAILED = 1, WRONG = 2;
 
   public static void main(String[] args) throws IOException {
+    // wirehost is started often and by many, so it loads nothing of all this.
     if (args.length > 0 && args[0].equals("wirehost")) {
       WireHost.main(args);
       return;
     }
-    System.err.println("usage: java -jar hollyslip.jar wirehost");
-    System.exit(2);
+    System.exit(new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true).execute(args));
+  }
+
+  @Override
+  public Integer call() {
+    CommandLine.usage(this, System.err);
+    return WRONG;
+  }
+
+  /** Listed for the help; {@link #main} runs it. */
+  @Command(name = "wirehost", description = "Hosts instances of the decision module on the simulator's wire, on standard input and output.")
+  static final class Wire implements Callable<Integer> {
+    @Override
+    public Integer call() throws IOException {
+      WireHost.main(new String[]{"wirehost"});
+      return DONE;
+    }
   }
 }
--- /dev/null
+++ b/src/main/java/hollyslip/cli/ReplayCommand.java
@@ -0,0 +1,32 @@
+package hollyslip.cli;
+
+import hollyslip.load.Day;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays a day file through real gateways. */
+@Command(name = "replay", mixinStandardHelpOptions = true, description = "Plays a day file (docs/replay.md) in real time through real gateways on stand-ins, audits it, and ends with 1 if a rule was broken.")
+final class ReplayCommand implements Callable<Integer> {
+  @Parameters(paramLabel = "FILE", description = "day file")
+  Path file;
+  @Option(names = "--dir", description = "folder for records and logs; a fresh temporary one if not given")
+  Path dir;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.WARN);
+    Day day;
+    try {
+      day = Day.parse(Files.readString(file));
+    } catch (Day.Wrong e) {
+      System.err.println(file + ": " + e.getMessage());
+      return Main.WRONG;
+    }
+    return Days.play(day, dir);
+  }
+}
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -72,6 +72,7 @@
   private final LongAdder taken = new LongAdder(), served = new LongAdder(), refused = new LongAdder();
   private final LongAdder failed = new LongAdder(), departed = new LongAdder(), attempts = new LongAdder();
   private final LongAdder moduleNs = new LongAdder();
+  private final Sampler refusals = new Sampler(), failures = new Sampler();
   private volatile Map<String, Volume> volumes;
   private volatile boolean stopping;
   private volatile boolean awaitingRoom;
@@ -193,6 +194,11 @@
     return stopped;
   }
 
+  /** Complete when the engine has ended. */
+  public CompletableFuture<Void> ended() {
+    return stopped;
+  }
+
   /** Totals since the start. From any thread; the figures need not be of one instant. */
   public Totals totals() {
     return new Totals(taken.sum(), served.sum(), refused.sum(), failed.sum(), departed.sum(), attempts.sum(),
@@ -207,7 +213,7 @@
       port.close();
       stopped.complete(null);
     } catch (Throwable e) {
-      LOG.error("engine.fault", e);
+      LOG.atError().setCause(e).log("engine.fault");
       stopped.completeExceptionally(e);
       throw e;
     }
@@ -421,14 +427,23 @@
       Answer all = op.verdict.answer();
       switch (all.kind()) {
         case SERVED -> served.increment();
-        case REFUSED -> refused.increment();
-        case FAILED -> failed.increment();
+        case REFUSED -> { refused.increment(); sample(refusals, "request.refused", op); }
+        case FAILED -> { failed.increment(); sample(failures, "request.failed", op); }
       }
       op.io.client().answered(all);
     }
     free(piece);
   }
 
+  private void sample(Sampler sampler, String event, Operation op) {
+    long facts = sampler.admit(now);
+    if (facts > 0) {
+      LOG.atInfo().addKeyValue("volume", op.volume.name()).addKeyValue("tenant", op.volume.tenant())
+          .addKeyValue("request", op.pieces.get(0).id).addKeyValue("kind", op.io.kind()).addKeyValue("facts",
+              facts).log(event);
+    }
+  }
+
   /** What is still out for a piece that has its answer must not touch the client's data again. */
   private void giveUpOthers(Piece piece, Result reason) {
     for (Attempt a : piece.attempts) {
--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -162,16 +162,19 @@
       }
     } catch (Violation e) {
       why = e.getMessage();
-      LOG.warn("device.stopped volume={} tenant={} field=\"{}\"", volume.name(), volume.tenant(), why);
+      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
+          "field", why).log("device.stopped");
     } catch (Closed e) {
       why = "the client left";
     } catch (IOException | RuntimeException e) {
       why = e.toString();
-      LOG.warn("device.stopped volume={} tenant={} why=\"{}\"", volume.name(), volume.tenant(), why);
+      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
+          "why", why).log("device.stopped");
     } catch (InternalError e) {
       // A fault in shared memory: the client cut its file short after the check at mapping.
       why = "memory region: cut short while in use";
-      LOG.warn("device.stopped volume={} tenant={} field=\"{}\"", volume.name(), volume.tenant(), why);
+      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
+          "field", why).log("device.stopped");
     } finally {
       close(why);
     }
@@ -579,10 +582,12 @@
           r.size));
       r.again.addAll(heads);
       if (!heads.isEmpty()) {
-        LOG.info("ring.recovered volume={} queue={} requests={}", volume.name(), r.index, heads.size());
+        LOG.atInfo().addKeyValue("volume", volume.name()).addKeyValue("queue", r.index).addKeyValue(
+            "requests", heads.size()).log("ring.recovered");
       }
     }
-    LOG.debug("ring.started volume={} queue={} size={}", volume.name(), r.index, r.size);
+    LOG.atDebug().addKeyValue("volume", volume.name()).addKeyValue("queue", r.index).addKeyValue("size",
+        r.size).log("ring.started");
   }
 
   /** The ring stops; the reply waits until all it has taken is answered. */
@@ -704,8 +709,8 @@
     if (inflight != null) {
       inflight.unmap();
     }
-    LOG.info("device.closed volume={} tenant={} inflight={} why=\"{}\"", volume.name(), volume.tenant(),
-        flight.size(), why);
+    LOG.atInfo().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
+        "inflight", flight.size()).addKeyValue("why", why).log("device.closed");
     Linux.closeAll(socket);
     closeWake();
     ended.run();
--- a/src/main/java/hollyslip/front/vhost/VhostServer.java
+++ b/src/main/java/hollyslip/front/vhost/VhostServer.java
@@ -52,7 +52,7 @@
       } catch (IOException e) {
         Linux.closeAll(fd);
         if (!closing) {
-          LOG.warn("vhost.accept volume={} why={}", volume, e.getMessage());
+          LOG.atWarn().addKeyValue("volume", volume).addKeyValue("why", e.getMessage()).log("vhost.accept");
         }
       }
     }
@@ -66,7 +66,7 @@
     Thread t = new Thread(self[0], "device-" + volume);
     t.setDaemon(true);
     t.start();
-    LOG.info("device.opened volume={} tenant={}", volume, v.tenant());
+    LOG.atInfo().addKeyValue("volume", volume).addKeyValue("tenant", v.tenant()).log("device.opened");
   }
 
   /** Where it listens. */
@@ -88,7 +88,7 @@
       acceptor.join(1_000);
       Files.deleteIfExists(path);
     } catch (IOException e) {
-      LOG.debug("vhost.close volume={} why={}", volume, e.getMessage());
+      LOG.atDebug().addKeyValue("volume", volume).addKeyValue("why", e.getMessage()).log("vhost.close");
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- /dev/null
+++ b/src/main/java/hollyslip/load/Child.java
@@ -0,0 +1,57 @@
+package hollyslip.load;
+
+import hollyslip.front.sys.Linux;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A gateway in a process of its own, started from the program that runs. */
+public final class Child {
+  private static final int SIGHUP = 1, SIGTERM = 15;
+
+  private final Process process;
+
+  /** Starts {@code serve FILE} and waits until clients may come; its log goes to the end of {@code log}. */
+  public Child(Path settings, Path log) throws IOException {
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    List<String> command = new ArrayList<>(List.of(java, "-Xmx512m", "-XX:+UseSerialGC", "-cp", System
+        .getProperty("java.class.path"), "hollyslip.cli.Main", "serve", settings.toString(), "--log",
+        "json"));
+    process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+        .redirectInput(new File("/dev/null")).start();
+    BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
+        StandardCharsets.UTF_8));
+    String line = out.readLine();
+    if (line == null) {
+      throw new IOException("the gateway did not start; see " + log);
+    }
+  }
+
+  /** SIGKILL; returns when it is gone. */
+  public void kill() throws InterruptedException {
+    process.destroyForcibly();
+    process.waitFor();
+  }
+
+  /** Has it read its settings again. */
+  public void reload() throws IOException {
+    Linux.signalProcess(process.pid(), SIGHUP);
+  }
+
+  /** SIGTERM; its exit status. */
+  public int stop() throws IOException, InterruptedException {
+    if (process.isAlive()) {
+      Linux.signalProcess(process.pid(), SIGTERM);
+    }
+    return process.waitFor();
+  }
+
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+}
--- a/src/main/java/hollyslip/load/RingLoad.java
+++ b/src/main/java/hollyslip/load/RingLoad.java
@@ -63,6 +63,9 @@
   private final Histogram latency = new Histogram(60_000_000L, 3);
   private volatile boolean finishing;
   private volatile double speed = 1;
+  private volatile boolean abusive;
+  private volatile boolean dropping;
+  private int repeats;
   private volatile int asked;
   private boolean connected;
   private long nextAt;
@@ -106,6 +109,7 @@
           stamps.served(offset, length, id);
         }
       }
+      repeats += abusive && answer != Asked.Answer.SERVED ? 1 : 0;
       latency.recordValue(Math.min(now - askedUs, latency.getHighestTrackableValue()));
       note(1, now, answer, false);
     }
@@ -146,6 +150,17 @@
     speed = factor;
   }
 
+  /** Asks again at once, out of turn, for each request that is not served: a client that does not back
+   * off. */
+  public void abusive(boolean on) {
+    abusive = on;
+  }
+
+  /** Drops the connection and comes again. */
+  public void drop() {
+    dropping = true;
+  }
+
   /** Requests asked so far. */
   public int asked() {
     return asked;
@@ -164,7 +179,8 @@
       ask();
       client.kick();
       if (client.poll() == 0) {
-        connected = client.await(waitMs());
+        connected = client.await(waitMs()) && !dropping;
+        dropping = false;
         if (!connected) {
           client.detach();
         }
@@ -228,6 +244,11 @@
     while (!finishing && (plan.count() == 0 || asked < plan.count()) && open.size() < plan.depth()) {
       if (plan.gapUs() > 0) {
         long now = Engine.clock();
+        if (repeats > 0) {
+          repeats--;
+          one();
+          continue;
+        }
         if (now < nextAt) {
           return;
         }
--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -151,7 +151,8 @@
       c.connect(t.address.at());
       return c;
     } catch (IOException e) {
-      LOG.warn("node.connection.failed node={} why={}", t.address.name(), e.getMessage());
+      LOG.atWarn().addKeyValue("node", t.address.name()).addKeyValue("why", e.getMessage()).log(
+          "node.connection.failed");
       return null;
     }
   }
@@ -169,8 +170,8 @@
     Target t = targets.get(attempt.node());
     NbdConnection c = carriers.get(attempt);
     if (c != null) {
-      LOG.info("node.fenced node={} connection={} request={}", t.address.name(), c.fence.serial(), attempt
-          .request());
+      LOG.atInfo().addKeyValue("node", t.address.name()).addKeyValue("connection", c.fence.serial())
+          .addKeyValue("request", attempt.request()).log("node.fenced");
       c.close("fenced: a newer write waits");
     } else if (t != null && !t.doubts.isEmpty()) {
       reopen(t);
@@ -218,7 +219,8 @@
 
   private void opened(NbdConnection c, long[] load) {
     Target t = targets.get(c.node);
-    LOG.debug("node.connected node={} connection={}", t.address.name(), c.fence.serial());
+    LOG.atDebug().addKeyValue("node", t.address.name()).addKeyValue("connection", c.fence.serial()).log(
+        "node.connected");
     boolean fresh = load.length > 0 && news.started(c.node, load[Nbd.Load.BOOT.ordinal()],
         load[Nbd.Load.AGE_MS.ordinal()] * 1_000);
     if (fresh) {
@@ -280,8 +282,9 @@
     Target t = targets.get(c.node);
     t.connections.remove(c);
     if (!closing) {
-      LOG.info("node.disconnected node={} connection={} waiting={} sent={} why={}", t.address.name(), c.fence
-          .serial(), waiting.size(), sent.size(), why);
+      LOG.atInfo().addKeyValue("node", t.address.name()).addKeyValue("connection", c.fence.serial())
+          .addKeyValue("waiting", waiting.size()).addKeyValue("sent", sent.size()).addKeyValue("why", why)
+          .log("node.disconnected");
     }
     waiting.forEach(a -> over(a, Result.CONNECT_FAILED));
     List<Attempt> doubt = new ArrayList<>();
--- a/src/main/java/hollyslip/standin/DiskServer.java
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -100,10 +100,15 @@
 
   /** Starts on a free port of the loopback address. */
   public DiskServer(Config config) throws IOException {
+    this(config, 0);
+  }
+
+  /** Starts on a port of the loopback address; 0: a free one. */
+  public DiskServer(Config config, int wanted) throws IOException {
     this.config = config;
     this.random = new SplittableRandom(config.seed());
     bornUs = now() - config.ageUs();
-    listener = listen(0);
+    listener = listen(wanted);
     port = listener.getLocalPort();
     start();
   }
@@ -264,7 +269,7 @@
   private void queue(Job job, long now) {
     long at;
     synchronized (jobs) {
-      at = model.doneAt(now, job.length, held);
+      at = model.doneAt(now, job.length, held, faults.heavyPart, faults.heavyFactor);
       if (at >= 0) {
         at += job.kind == Nbd.CMD_WRITE ? faults.lateWriteUs : 0;
         jobs.add(new Job(at, serials.incrementAndGet(), job.from, job.cookie, job.kind, job.offset,
--- a/src/main/java/hollyslip/standin/Faults.java
+++ b/src/main/java/hollyslip/standin/Faults.java
@@ -18,6 +18,9 @@
   public volatile long lateWriteUs;
   /** Sends so many bytes of the next read's reply and then nothing more; 0: off. */
   public volatile int halfReply;
+  /** This part of the commands costs {@link #heavyFactor} times the work. */
+  public volatile double heavyPart;
+  public volatile double heavyFactor = 1;
   /** The next replies go wrong on purpose. */
   public volatile Malice malice = Malice.NONE;
 
@@ -36,6 +39,7 @@
     resets = 0;
     lateWriteUs = 0;
     halfReply = 0;
+    heavyPart = 0;
     malice = Malice.NONE;
   }
 }
--- a/src/main/java/hollyslip/standin/ServiceModel.java
+++ b/src/main/java/hollyslip/standin/ServiceModel.java
@@ -60,7 +60,7 @@
 
   /** When a command of so many bytes that comes now is done, or -1: the queue is full. {@code held}: those
    * that it holds already. */
-  long doneAt(long now, long bytes, int held) {
+  long doneAt(long now, long bytes, int held, double heavyPart, double heavyFactor) {
     if (config.cores() > 0 && held >= config.cores() + config.queue()) {
       return -1;
     }
@@ -73,7 +73,7 @@
       start += config.pauseUs() - (start - bornUs) % config.pauseEveryUs();
     }
     double work = (config.baseUs() + config.perKibUs() * bytes / 1024.0) * (1 + config.spread() * (2 * random
-        .nextDouble() - 1)) * slow / speed(start);
+        .nextDouble() - 1)) * slow * (random.nextDouble() < heavyPart ? heavyFactor : 1) / speed(start);
     freeAt[core] = start + (long) work;
     return freeAt[core];
   }
--- a/src/test/java/hollyslip/e2e/RingToNodeTest.java
+++ b/src/test/java/hollyslip/e2e/RingToNodeTest.java
@@ -30,8 +30,8 @@
   @Test
   void whatIsWrittenIsReadBackAcrossExtents() throws Exception {
     try (Site site = new Site(dir, 3);
-        Gateway gateway = site.gateway();
         RingClient client = new RingClient(RingClient.Options.usual(1, 64, 256 * 1024))) {
+      Gateway gateway = site.gateway();
       client.connect(gateway.socket("stock"));
       byte[] bytes = new byte[200 * 1024];
       new Random(3).nextBytes(bytes);
