Hostile clients and broken nodes by table and by noise; a leak of mappings mended

Need: what the vhost-user specification leaves to trust is not trusted; parsers are to be fuzzed with descriptors and mappings counted.

A region that overlapped another stayed mapped for ever; it is released now.

Measured: every case stops its device alone; mappings and descriptors return to what they were, also after a SIGBUS.

--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -99,6 +99,11 @@
     return deployment.gateway().socketDir().resolve(volume + ".sock");
   }
 
+  /** Clients attached to a volume. */
+  public int devices(String volume) {
+    return fronts.stream().filter(f -> f.path().equals(socket(volume))).mapToInt(VhostServer::devices).sum();
+  }
+
   public Engine engine() {
     return engine;
   }
--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -414,7 +414,7 @@
         need(p, 40, "ADD_MEM_REG");
         p.getLong();
         Violation.check(memory.regions.size() < MOST_SLOTS, "ADD_MEM_REG: more than " + MOST_SLOTS);
-        memory = memory.with(region(p));
+        addRegion(p);
       }
       case Wire.REM_MEM_REG -> removeRegion(p);
       case Wire.SET_VRING_NUM -> {
@@ -511,11 +511,21 @@
     memory = GuestMemory.NONE;
     old.releaseAll();
     for (int i = 0; i < count; i++) {
-      memory = memory.with(region(p));
+      addRegion(p);
     }
     rings.forEach(this::relocate);
   }
 
+  private void addRegion(ByteBuffer p) {
+    GuestMemory.Region region = region(p);
+    try {
+      memory = memory.with(region);
+    } catch (Violation e) {
+      region.release();
+      throw e;
+    }
+  }
+
   private GuestMemory.Region region(ByteBuffer p) {
     long guest = p.getLong();
     long size = p.getLong();
--- a/src/main/java/hollyslip/load/RingClient.java
+++ b/src/main/java/hollyslip/load/RingClient.java
@@ -398,6 +398,11 @@
     return ask(Wire.GET_VRING_BASE, Wire.state(queue, 0)).getInt(4);
   }
 
+  /** Descriptor by which a queue is kicked. */
+  public int kickFd(int queue) {
+    return queues[queue].kick;
+  }
+
   /** Descriptor of the memory shared with the gateway. */
   public int memoryFd() {
     return memory;
--- a/src/test/java/hollyslip/e2e/HardCasesTest.java
+++ b/src/test/java/hollyslip/e2e/HardCasesTest.java
@@ -80,14 +80,14 @@
     }
   }
 
-  /** A write is given up while it waits in its node; a newer one to the same blocks is answered; then the old one's time
-   * comes. With a fence it never lands; a node without our contexts is given the settle time. */
+  /** A write is given up while it waits in its node; a newer one to the same blocks is answered; then the old
+   * one's time comes. With a fence it never lands; a node without our contexts is given the settle time. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void aLateWriteNeverLandsOnANewerOne(boolean fences) throws Exception {
-    try (Site site = new Site(dir, 1, i -> new DiskServer.Config("disk-0", Site.SHARD_BYTES, DiskServer.Config.plain("",
-        1, true).model(), 1, 3_600_000_000L, fences, true)); RingClient client = new RingClient(RingClient.Options.usual(
-            1, 16, 4096))) {
+    try (Site site = new Site(dir, 1, i -> new DiskServer.Config("disk-0", Site.SHARD_BYTES, DiskServer.Config
+        .plain("", 1, true).model(), 1, 3_600_000_000L, fences, true));
+        RingClient client = new RingClient(RingClient.Options.usual(1, 16, 4096))) {
       site.deadlineUs = 800_000;
       client.connect(site.gateway().socket("stock"));
       DiskServer disk = site.disks.get(0);
--- /dev/null
+++ b/src/test/java/hollyslip/e2e/HostileClientTest.java
@@ -0,0 +1,244 @@
+package hollyslip.e2e;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hollyslip.cli.Gateway;
+import hollyslip.front.sys.Linux;
+import hollyslip.front.vhost.Wire;
+import hollyslip.load.RingClient;
+import hollyslip.load.RingClient.Queue;
+import hollyslip.volume.IoKind;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Clients that do what the specification does not allow: their device stops, nothing leaks, others are
+ * served. */
+@Timeout(120)
+class HostileClientTest {
+  private static final long GUEST = 0x1000_0000L;
+
+  @TempDir
+  Path dir;
+  private Site site;
+  private Gateway gateway;
+  private RingClient honest;
+
+  private interface Evil {
+    void does(RingClient client, Queue queue) throws IOException;
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    site = new Site(dir, 1);
+    gateway = site.gateway();
+    honest = new RingClient(RingClient.Options.usual(1, 16, 4096));
+    honest.connect(gateway.socket("orders"));
+    assertEquals(0, Rings.one(honest, IoKind.READ, 0, 4096, new byte[4096]));
+  }
+
+  @AfterEach
+  void stop() {
+    honest.close();
+    site.close();
+  }
+
+  private static void until(java.util.concurrent.Callable<Boolean> what) {
+    until("", what);
+  }
+
+  private static void until(String name, java.util.concurrent.Callable<Boolean> what) {
+    Awaitility.await(name).pollInterval(2, TimeUnit.MILLISECONDS).atMost(30, TimeUnit.SECONDS).until(what);
+  }
+
+  private static long fds() throws IOException {
+    try (var all = Files.list(Path.of("/proc/self/fd"))) {
+      return all.count();
+    }
+  }
+
+  private static RingClient direct() throws IOException {
+    return new RingClient(new RingClient.Options(1, 16, 4096, false, true, true, true));
+  }
+
+  /** One evil client: its connection ends, all it brought is given back, the honest one is served on. */
+  private void stops(String name, Evil evil) throws IOException {
+    int mappings = Linux.mappings();
+    long fds = fds();
+    try (RingClient c = direct()) {
+      c.connect(gateway.socket("stock"));
+      evil.does(c, c.queue(0));
+      long until = System.nanoTime() + 20_000_000_000L;
+      boolean open = true;
+      while (open && System.nanoTime() < until) {
+        open = c.await(100);
+      }
+      assertFalse(open, name + ": the device goes on");
+    }
+    until(name + ": mappings", () -> Linux.mappings() == mappings);
+    until(name + ": descriptors", () -> fds() <= fds);
+    assertEquals(0, Rings.one(honest, IoKind.READ, 4096, 4096, new byte[4096]), name);
+  }
+
+  private static Evil chain(long address, int length, int flags, int next) {
+    return (c, q) -> {
+      RingClient.describe(q.table, 0, address, length, flags, next);
+      c.publish(q, 0);
+      c.kick();
+    };
+  }
+
+  private static ByteBuffer little(int n) {
+    return ByteBuffer.allocate(n).order(ByteOrder.LITTLE_ENDIAN);
+  }
+
+  @Test
+  void whatIsNotAllowedStopsItsDeviceAndNoOther() throws IOException {
+    Map<String, Evil> evils = new LinkedHashMap<>();
+    evils.put("descriptor outside memory", chain(0xdead_0000L, 4096, 0, 0));
+    evils.put("descriptor past the end of memory", chain(GUEST + 4096, 0x7fff_ffff, 0, 0));
+    evils.put("address that overflows", chain(-8, 4096, 0, 0));
+    evils.put("chain that loops", chain(GUEST, 16, 1, 0));
+    evils.put("next outside the table", chain(GUEST, 16, 1, 5_000));
+    evils.put("empty descriptor", chain(GUEST, 0, 0, 0));
+    evils.put("writable header", chain(GUEST, 64, 2, 0));
+    evils.put("no status", chain(GUEST, 16, 0, 0));
+    evils.put("indirect with next", chain(GUEST, 64, 5, 1));
+    evils.put("indirect of a crooked size", chain(GUEST, 40, 4, 0));
+    evils.put("index that jumps", (c, q) -> {
+      q.avail.putShort(2, (short) 100);
+      Linux.signal(kickOf(c));
+    });
+    evils.put("head outside the table", (c, q) -> {
+      c.publish(q, 77);
+      c.kick();
+    });
+    evils.put("message too long", (c, q) -> c.sendRaw(little(12).putInt(1).putInt(1).putInt(1 << 20)
+        .array()));
+    evils.put("message of another version", (c, q) -> c.sendRaw(little(12).putInt(1).putInt(2).putInt(0)
+        .array()));
+    evils.put("reply not asked for", (c, q) -> c.send(Wire.GET_FEATURES, Wire.REPLY, new byte[0]));
+    evils.put("unknown request", (c, q) -> c.send(99, 0, new byte[0]));
+    evils.put("wrong size", (c, q) -> c.send(Wire.SET_FEATURES, 0, new byte[4]));
+    evils.put("features not offered", (c, q) -> c.send(Wire.SET_PROTOCOL_FEATURES, 0, Wire.u64(-1)));
+    evils.put("owner twice", (c, q) -> c.send(Wire.SET_OWNER, 0, new byte[0]));
+    evils.put("queue that is not there", (c, q) -> c.send(Wire.SET_VRING_ENABLE, 0, Wire.state(500, 1)));
+    evils.put("size while it runs", (c, q) -> c.send(Wire.SET_VRING_NUM, 0, Wire.state(0, 8)));
+    evils.put("kick without a descriptor", (c, q) -> c.send(Wire.SET_VRING_KICK, 0, Wire.u64(0)));
+    evils.put("kick that is no eventfd", (c, q) -> c.send(Wire.SET_VRING_KICK, 0, Wire.u64(0), c.memoryFd()));
+    evils.put("descriptors nobody asked for", (c, q) -> c.send(Wire.GET_FEATURES, 0, new byte[0], c
+        .memoryFd(), c.memoryFd()));
+    evils.put("region longer than its file", (c, q) -> c.send(Wire.ADD_MEM_REG, 0, little(40).putLong(0)
+        .putLong(1L << 40).putLong(1L << 30).putLong(0).putLong(0).array(), c.memoryFd()));
+    evils.put("region that overlaps", (c, q) -> c.send(Wire.ADD_MEM_REG, 0, little(40).putLong(0).putLong(
+        GUEST).putLong(4096).putLong(0).putLong(0).array(), c.memoryFd()));
+    evils.put("region that is not there", (c, q) -> c.send(Wire.REM_MEM_REG, 0, little(40).putLong(0).putLong(
+        1).putLong(1).putLong(1).putLong(0).array()));
+    evils.put("memory that goes while a ring runs in it", (c, q) -> c.send(Wire.SET_MEM_TABLE, 0, little(8)
+        .putLong(0).array()));
+    evils.put("configuration written", (c, q) -> c.send(Wire.SET_CONFIG, 0, new byte[16]));
+    evils.put("inflight region while a ring runs", (c, q) -> c.send(Wire.SET_INFLIGHT_FD, 0, little(24)
+        .putLong(4096).putLong(0).putShort((short) 1).putShort((short) 16).array(), c.memoryFd()));
+    evils.put("half a message, then gone", (c, q) -> {
+      c.sendRaw(new byte[]{1, 0, 0});
+      c.detach();
+    });
+    evils.put("memory cut short while in use", (c, q) -> {
+      Linux.truncate(c.memoryFd(), 0);
+      Linux.signal(kickOf(c));
+    });
+    for (Map.Entry<String, Evil> e : evils.entrySet()) {
+      if (e.getKey().equals("half a message, then gone") || e.getKey().equals(
+          "memory cut short while in use")) {
+        gone(e.getKey(), e.getValue());
+      } else {
+        stops(e.getKey(), e.getValue());
+      }
+    }
+  }
+
+  private static int kickOf(RingClient c) {
+    return c.kickFd(0);
+  }
+
+  /** As {@link #stops}, where the client cannot look itself any more. */
+  private void gone(String name, Evil evil) throws IOException {
+    int mappings = Linux.mappings();
+    int devices = gateway.devices("stock");
+    try (RingClient c = direct()) {
+      c.connect(gateway.socket("stock"));
+      until(() -> gateway.devices("stock") == devices + 1);
+      evil.does(c, c.queue(0));
+      until(() -> gateway.devices("stock") == devices);
+    }
+    until(() -> Linux.mappings() == mappings);
+    assertEquals(0, Rings.one(honest, IoKind.READ, 4096, 4096, new byte[4096]), name);
+  }
+
+  @Test
+  void aHeadTwiceInFlightStopsTheDevice() throws IOException {
+    site.disks.get(0).faults.silent = true;
+    try (RingClient c = direct()) {
+      c.connect(gateway.socket("stock"));
+      c.submit(0, IoKind.READ, 0, 4096, null, (s, r, d) -> {});
+      c.publish(c.queue(0), 0);
+      c.kick();
+      until(() -> !c.await(50));
+    } finally {
+      site.disks.get(0).faults.clear();
+    }
+  }
+
+  /** Messages changed at random, with descriptors at random, and rings full of noise: no crash, no hang, no
+   * leak. */
+  @Test
+  void noiseHarmsNobody() throws IOException {
+    int mappings = Linux.mappings();
+    long fds = fds();
+    SplittableRandom random = new SplittableRandom(42);
+    for (int round = 0; round < 400; round++) {
+      try (RingClient c = direct()) {
+        c.connect(gateway.socket("stock"));
+        for (int i = 0; i < 6; i++) {
+          if (random.nextInt(3) == 0) {
+            Queue q = c.queue(0);
+            for (int at = 0; at < q.table.capacity(); at += 8) {
+              q.table.putLong(at, random.nextInt(2) == 0
+                  ? GUEST + random.nextInt(65_536)
+                  : random.nextLong());
+            }
+            c.publish(q, random.nextInt(16));
+            c.kick();
+          } else {
+            byte[] payload = new byte[random.nextInt(4) * 8 + (random.nextInt(8) == 0 ? 3 : 0)];
+            random.nextBytes(payload);
+            int[] sent = new int[random.nextInt(3)];
+            java.util.Arrays.fill(sent, c.memoryFd());
+            c.send(random.nextInt(42), random.nextInt(4) == 0 ? random.nextInt(16) : 0, payload, sent);
+          }
+        }
+        c.await(1);
+      } catch (IOException e) {
+        // The device has stopped before all was sent: that is what it is for.
+        assertTrue(e.getMessage().contains("error") || e.getMessage().contains("closed"), e.getMessage());
+      }
+    }
+    assertEquals(0, Rings.one(honest, IoKind.READ, 0, 4096, new byte[4096]));
+    until(() -> Linux.mappings() == mappings);
+    until(() -> fds() <= fds);
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/node/NbdParsersTest.java
@@ -0,0 +1,147 @@
+package hollyslip.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** The client's side of NBD on bytes of any kind. */
+class NbdParsersTest {
+  private static final class Heard implements NbdReplies.Sink {
+    final List<String> events = new ArrayList<>();
+    int data;
+
+    @Override
+    public long expects(long cookie) {
+      return cookie == 7 ? 1_024 : cookie == 8 ? 0 : -1;
+    }
+
+    @Override
+    public long offset(long cookie) {
+      return 4_096;
+    }
+
+    @Override
+    public void data(long cookie, long at, ByteBuffer in, int length) {
+      assertTrue(at >= 0 && at + length <= 1_024, at + "+" + length);
+      in.position(in.position() + length);
+      data += length;
+    }
+
+    @Override
+    public void hole(long cookie, long at, long length) {
+      assertTrue(at >= 0 && length > 0 && at + length <= 1_024);
+      data += (int) length;
+    }
+
+    @Override
+    public void status(long cookie, int context, int index, int value) {
+      events.add("status " + index + "=" + value);
+    }
+
+    @Override
+    public void done(long cookie, int error, String message) {
+      events.add(cookie + " " + error + message);
+    }
+  }
+
+  private static ByteBuffer chunk(int flags, int type, long cookie, byte[] body) {
+    return ByteBuffer.allocate(20 + body.length).putInt(Nbd.STRUCTURED_REPLY).putShort((short) flags)
+        .putShort((short) type).putLong(cookie).putInt(body.length).put(body).flip();
+  }
+
+  private static byte[] data(long offset, int length) {
+    return ByteBuffer.allocate(8 + length).putLong(offset).array();
+  }
+
+  private static Heard feed(ByteBuffer... all) throws NbdReplies.Broken {
+    Heard heard = new Heard();
+    NbdReplies replies = new NbdReplies(true, heard);
+    ByteBuffer joined = ByteBuffer.allocate(100_000);
+    for (ByteBuffer b : all) {
+      joined.put(b);
+      // A byte at a time, as a slow peer may send them.
+      joined.flip();
+      replies.feed(joined);
+      joined.compact();
+    }
+    return heard;
+  }
+
+  @Test
+  void chunksMakeOneReply() throws Exception {
+    Heard h = feed(chunk(0, Nbd.CHUNK_DATA, 7, data(4_096, 512)), chunk(0, Nbd.CHUNK_HOLE, 7, ByteBuffer
+        .allocate(12).putLong(4_608).putInt(512).array()), chunk(1, Nbd.CHUNK_NONE, 7, new byte[0]));
+    assertEquals(List.of("7 0"), h.events);
+    assertEquals(1_024, h.data);
+    assertEquals(List.of("8 5oh"), feed(chunk(1, Nbd.CHUNK_ERROR, 8, ByteBuffer.allocate(8).putInt(5)
+        .putShort((short) 2).put("oh".getBytes()).array())).events);
+  }
+
+  @Test
+  void whatWasNotAskedForBreaksTheConnection() {
+    for (ByteBuffer bad : List.of(chunk(1, Nbd.CHUNK_DATA, 9, data(4_096, 8)), chunk(1, Nbd.CHUNK_DATA, 7,
+        data(4_095, 8)), chunk(1, Nbd.CHUNK_DATA, 7, data(4_096, 1_025)), chunk(1, Nbd.CHUNK_DATA, 8, data(
+            4_096, 1)), chunk(1, 77, 7, new byte[4]), chunk(1, Nbd.CHUNK_HOLE, 7, new byte[11]), ByteBuffer
+                .allocate(16).putInt(5), ByteBuffer.allocate(16).putInt(Nbd.SIMPLE_REPLY).putInt(0).putLong(7)
+                    .flip())) {
+      bad.rewind();
+      assertThrows(NbdReplies.Broken.class, () -> feed(bad));
+    }
+  }
+
+  @Property(tries = 3_000, seed = "5")
+  void noBytesHangOrCrashTheReplies(@ForAll @Size(max = 200) byte[] bytes, @ForAll boolean framed) {
+    ByteBuffer in = framed && bytes.length > 30
+        ? ByteBuffer.wrap(bytes).putInt(0, Nbd.STRUCTURED_REPLY).putLong(8, 7).putInt(16, bytes[16] & 0x7f)
+        : ByteBuffer.wrap(bytes);
+    try {
+      new NbdReplies(true, new Heard()).feed(in);
+      assertTrue(in.remaining() <= 20 + Nbd.MOST_OPTION);
+    } catch (NbdReplies.Broken e) {
+      assertFalse(e.getMessage().isEmpty());
+    }
+  }
+
+  @Property(tries = 2_000, seed = "6")
+  void noBytesHangOrCrashTheHandshake(@ForAll @Size(max = 120) byte[] bytes, @ForAll boolean greeted) {
+    NbdHandshake h = new NbdHandshake("x", new Fence("c", 1, 1, Set.of()));
+    ByteBuffer in = ByteBuffer.allocate(200);
+    if (greeted) {
+      in.putLong(Nbd.MAGIC).putLong(Nbd.IHAVEOPT).putShort((short) 3).putLong(Nbd.OPTION_REPLY).putInt(
+          Nbd.OPT_STRUCTURED_REPLY);
+    }
+    in.put(bytes).flip();
+    try {
+      h.feed(in);
+    } catch (NbdHandshake.Refused e) {
+      assertFalse(e.getMessage().isEmpty());
+    }
+  }
+
+  @Test
+  void fencesKillEarlierProcessesAndClosedConnections() {
+    Fence f = new Fence("gw", 3, 9, Set.of(5L));
+    assertEquals(f, Fence.parse(f.text()));
+    assertTrue(f.kills(new Fence("gw", 2, 50, Set.of())));
+    assertTrue(f.kills(new Fence("gw", 3, 8, Set.of())));
+    assertFalse(f.kills(new Fence("gw", 3, 5, Set.of())));
+    assertFalse(f.kills(f));
+    assertFalse(f.kills(new Fence("gw", 3, 10, Set.of())));
+    assertFalse(f.kills(new Fence("other", 1, 1, Set.of())));
+    for (String bad : List.of("", "hollyslip:fence/", "hollyslip:fence/a/b/c/d", "hollyslip:fence/a/1/2",
+        "x")) {
+      assertNull(Fence.parse(bad));
+    }
+  }
+}
