A second front: SFTP file commands over a Unix socket and over pipes

Need: the seam of the engine is proven by a front that knows nothing of rings; each volume shows as one file.

Change: version 3 packets on Netty, parser ours, bounded, fuzzed; unaligned writes read the blocks first and wait for each other; sftp-server bridges pipes to the socket. The engine is unchanged.

--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -4,6 +4,7 @@
 import hollyslip.HostScheduler.Listed;
 import hollyslip.engine.Engine;
 import hollyslip.fleet.Membership;
+import hollyslip.front.sftp.SftpServer;
 import hollyslip.front.vhost.VhostServer;
 import hollyslip.node.NodePool;
 import hollyslip.recovery.Epoch;
@@ -36,6 +37,7 @@
   private final Membership membership;
   private final NodePool pool;
   private final List<VhostServer> fronts = new ArrayList<>();
+  private final SftpServer sftp;
 
   /** Builds and starts it; sockets listen when this returns. */
   public Gateway(Deployment deployment) throws IOException {
@@ -56,6 +58,7 @@
     for (Volume v : deployment.volumes()) {
       fronts.add(new VhostServer(engine, v.name(), socket(v.name())));
     }
+    sftp = p.sftp() ? new SftpServer(engine, p.socketDir().resolve("sftp.sock")) : null;
     LOG.atInfo().addKeyValue("name", p.name()).addKeyValue("epoch", epoch).addKeyValue("volumes", deployment
         .volumes().size()).addKeyValue("nodes", deployment.nodes().size()).log("gateway.started");
   }
@@ -114,7 +117,12 @@
 
   /** Takes no more, answers everything, then closes the sockets; complete when all is answered. */
   public CompletableFuture<Void> stop() {
-    return engine.stop().whenComplete((done, error) -> fronts.forEach(VhostServer::close));
+    return engine.stop().whenComplete((done, error) -> {
+      fronts.forEach(VhostServer::close);
+      if (sftp != null) {
+        sftp.close();
+      }
+    });
   }
 
   /** Has this called when the engine ends, wanted or not. */
--- /dev/null
+++ b/src/main/java/hollyslip/front/sftp/SftpServer.java
@@ -0,0 +1,54 @@
+package hollyslip.front.sftp;
+
+import hollyslip.engine.Engine;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** File commands over a Unix socket: SFTP packets without the cryptography, for those who may open the
+ * socket. */
+public final class SftpServer {
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final Channel listener;
+  private final Path path;
+
+  /** @param path
+   *          of the socket; a file left there is replaced */
+  public SftpServer(Engine engine, Path path) throws IOException {
+    this.path = path;
+    Files.deleteIfExists(path);
+    try {
+      listener = new ServerBootstrap().group(group).channel(NioServerDomainSocketChannel.class).childHandler(
+          new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel c) {
+              c.pipeline().addLast(new LengthFieldBasedFrameDecoder(Packets.MOST_PACKET, 0, 4, 0, 4),
+                  new LengthFieldPrepender(4), new Session(engine));
+            }
+          }).bind(UnixDomainSocketAddress.of(path)).syncUninterruptibly().channel();
+    } catch (RuntimeException e) {
+      group.shutdownGracefully();
+      throw new IOException("sftp socket " + path + ": " + e.getMessage(), e);
+    }
+  }
+
+  public Path path() {
+    return path;
+  }
+
+  /** Takes no more and ends the sessions. */
+  public void close() {
+    listener.close().syncUninterruptibly();
+    group.shutdownGracefully();
+  }
+}
--- a/src/test/java/hollyslip/e2e/HardCasesTest.java
+++ b/src/test/java/hollyslip/e2e/HardCasesTest.java
@@ -33,7 +33,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The hard cases of a running gateway, each over real rings and sockets, judged by the audit. */
-@Timeout(120)
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class HardCasesTest {
   @TempDir
   Path dir;
--- a/src/test/java/hollyslip/e2e/HostileClientTest.java
+++ b/src/test/java/hollyslip/e2e/HostileClientTest.java
@@ -28,7 +28,7 @@
 
 /** Clients that do what the specification does not allow: their device stops, nothing leaks, others are
  * served. */
-@Timeout(120)
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class HostileClientTest {
   private static final long GUEST = 0x1000_0000L;
 
--- /dev/null
+++ b/src/test/java/hollyslip/e2e/SftpTest.java
@@ -0,0 +1,203 @@
+package hollyslip.e2e;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Random;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** File commands over the same engine, and over pipes. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class SftpTest {
+  private static final int OPEN = 3, CLOSE = 4, READ = 5, WRITE = 6, OPENDIR = 11, READDIR = 12,
+      REALPATH = 16, STAT = 17;
+  private static final int EXTENDED = 200, STATUS = 101, HANDLE = 102, DATA = 103, NAME = 104, ATTRS = 105;
+
+  @TempDir
+  Path dir;
+
+  /** A small client of the protocol, one request at a time. */
+  private static final class Client implements AutoCloseable {
+    final SocketChannel channel;
+    final DataInputStream in;
+    int id;
+
+    Client(Path socket) throws IOException {
+      channel = SocketChannel.open(UnixDomainSocketAddress.of(socket));
+      in = new DataInputStream(Channels.newInputStream(channel));
+    }
+
+    static byte[] text(String s) {
+      byte[] b = s.getBytes(StandardCharsets.UTF_8);
+      return ByteBuffer.allocate(4 + b.length).putInt(b.length).put(b).array();
+    }
+
+    void raw(byte[] packet) throws IOException {
+      ByteBuffer b = ByteBuffer.allocate(4 + packet.length).putInt(packet.length).put(packet).flip();
+      while (b.hasRemaining()) {
+        channel.write(b);
+      }
+    }
+
+    ByteBuffer reply() throws IOException {
+      byte[] b = new byte[in.readInt()];
+      in.readFully(b);
+      return ByteBuffer.wrap(b);
+    }
+
+    void init() throws IOException {
+      raw(new byte[]{1, 0, 0, 0, 3});
+      ByteBuffer r = reply();
+      assertEquals(2, r.get());
+      assertEquals(3, r.getInt());
+    }
+
+    ByteBuffer ask(int type, byte[]... parts) throws IOException {
+      int n = 0;
+      for (byte[] p : parts) {
+        n += p.length;
+      }
+      ByteBuffer b = ByteBuffer.allocate(5 + n).put((byte) type).putInt(++id);
+      for (byte[] p : parts) {
+        b.put(p);
+      }
+      raw(b.array());
+      return reply();
+    }
+
+    /** The reply's type, with its id checked. */
+    ByteBuffer expect(int type, ByteBuffer r) {
+      assertEquals(type, r.get());
+      assertEquals(id, r.getInt());
+      return r;
+    }
+
+    int status(ByteBuffer r) {
+      return expect(STATUS, r).getInt();
+    }
+
+    byte[] handle(ByteBuffer r) {
+      expect(HANDLE, r);
+      byte[] b = new byte[r.remaining()];
+      r.get(b);
+      return b;
+    }
+
+    @Override
+    public void close() throws IOException {
+      channel.close();
+    }
+  }
+
+  private static byte[] u32(int n) {
+    return ByteBuffer.allocate(4).putInt(n).array();
+  }
+
+  private static byte[] u64(long n) {
+    return ByteBuffer.allocate(8).putLong(n).array();
+  }
+
+  private static byte[] blob(byte[] b) {
+    return ByteBuffer.allocate(4 + b.length).putInt(b.length).put(b).array();
+  }
+
+  @Test
+  void aVolumeIsAFile() throws Exception {
+    try (Site site = new Site(dir, 3)) {
+      site.gateway();
+      try (Client c = new Client(dir.resolve("gw-0/sftp.sock"))) {
+        c.init();
+        ByteBuffer real = c.expect(NAME, c.ask(REALPATH, Client.text("./a/../stock")));
+        assertEquals(1, real.getInt());
+        assertEquals(6, real.getInt());
+        byte[] folder = c.handle(c.ask(OPENDIR, Client.text("/")));
+        assertEquals(3, c.expect(NAME, c.ask(READDIR, folder)).getInt());
+        assertEquals(1, c.status(c.ask(READDIR, folder)), "end of folder");
+        assertEquals(0, c.status(c.ask(CLOSE, folder)));
+        ByteBuffer attrs = c.expect(ATTRS, c.ask(STAT, Client.text("/stock")));
+        attrs.getInt();
+        assertEquals(Site.VOLUME_BYTES, attrs.getLong());
+        assertEquals(2, c.status(c.ask(STAT, Client.text("/nothing"))));
+        byte[] h = c.handle(c.ask(OPEN, Client.text("stock"), u32(3), u32(0)));
+        byte[] bytes = new byte[100_001];
+        new Random(1).nextBytes(bytes);
+        assertEquals(0, c.status(c.ask(WRITE, h, u64(12_345), blob(bytes))), "not on block boundaries");
+        ByteBuffer data = c.expect(DATA, c.ask(READ, h, u64(12_345), u32(bytes.length)));
+        byte[] back = new byte[data.getInt()];
+        data.get(back);
+        assertArrayEquals(bytes, back);
+        assertEquals(0, c.status(c.ask(EXTENDED, Client.text("fsync@openssh.com"), h)));
+        assertEquals(1, c.status(c.ask(READ, h, u64(Site.VOLUME_BYTES), u32(10))), "end of file");
+        assertEquals(4, c.status(c.ask(WRITE, h, u64(Site.VOLUME_BYTES - 1), blob(new byte[2]))),
+            "past the end");
+        assertEquals(0, c.status(c.ask(CLOSE, h)));
+        assertEquals(4, c.status(c.ask(READ, h, u64(0), u32(1))), "a closed handle");
+        byte[] readOnly = c.handle(c.ask(OPEN, Client.text("stock"), u32(1), u32(0)));
+        assertEquals(3, c.status(c.ask(WRITE, readOnly, u64(0), blob(new byte[1]))));
+        assertEquals(8, c.status(c.ask(99, new byte[0])));
+      }
+    }
+  }
+
+  @Test
+  void aSilentNodeFailsTheCommandAndNoPacketHurts() throws Exception {
+    try (Site site = new Site(dir, 1)) {
+      site.deadlineUs = 300_000;
+      site.gateway();
+      Path socket = dir.resolve("gw-0/sftp.sock");
+      SplittableRandom random = new SplittableRandom(9);
+      for (int i = 0; i < 300; i++) {
+        try (Client c = new Client(socket)) {
+          if (random.nextInt(4) > 0) {
+            c.init();
+          }
+          byte[] noise = new byte[random.nextInt(1, 60)];
+          random.nextBytes(noise);
+          noise[0] = (byte) random.nextInt(22);
+          c.raw(noise);
+        }
+      }
+      try (Client c = new Client(socket)) {
+        c.raw(new byte[]{5, 0, 0, 0, 1});
+        assertThrows(IOException.class, c::reply, "a packet before INIT ends the session");
+      }
+      try (Client c = new Client(socket)) {
+        c.init();
+        byte[] h = c.handle(c.ask(OPEN, Client.text("stock"), u32(3), u32(0)));
+        site.disks.get(0).faults.silent = true;
+        assertEquals(4, c.status(c.ask(READ, h, u64(0), u32(10))));
+        site.disks.get(0).faults.clear();
+      }
+    }
+  }
+
+  @Test
+  void aPipeLeadsToTheGateway() throws Exception {
+    try (Site site = new Site(dir, 1)) {
+      site.gateway();
+      Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+          "-cp", System.getProperty("java.class.path"), "hollyslip.cli.Main", "sftp-server", dir.resolve(
+              "gw-0/sftp.sock").toString()).start();
+      p.getOutputStream().write(new byte[]{0, 0, 0, 5, 1, 0, 0, 0, 3});
+      p.getOutputStream().flush();
+      DataInputStream in = new DataInputStream(p.getInputStream());
+      assertTrue(in.readInt() > 5);
+      assertEquals(2, in.readByte());
+      p.getOutputStream().close();
+      assertEquals(0, p.waitFor());
+    }
+  }
+}
--- a/src/test/java/hollyslip/e2e/Site.java
+++ b/src/test/java/hollyslip/e2e/Site.java
@@ -67,7 +67,7 @@
     List<Volume> volumes = List.of(volume(1, "stock", "gold", disks.size(), hosts), volume(2, "orders",
         "gold", disks.size(), hosts), volume(3, "capped", "limited", disks.size(), hosts));
     return new Deployment(new Deployment.Process(name, index, hosts, "a", dir.resolve(name), dir.resolve(name
-        + "-state"), 7, 1_000, 4096, 10_000, 256 << 20, 2, 256, 2, false), classes, rows, List.of(new Plan(
+        + "-state"), 7, 1_000, 4096, 10_000, 256 << 20, 2, 256, 2, true), classes, rows, List.of(new Plan(
             "gold", 1e6, 1e5, 3, 1, 0, 0, 0), limited), new Rules(8_000, 1_000_000, 0.2, coldUs, 3, 2_000_000,
                 300_000, 0.5, 20, 5_000_000, 0), new Allowed(4, false, false, false, true, 500_000, 250_000),
         new Store(1, 256, 200, 0.4, 0.1, 0, false), nodes, volumes);
