bench ring: ring to gateway to node against the node and the ring alone

Need: what the gateway adds is to be measured side by side in one run.

Change: closed-loop reads of 4 KiB through a ring, with the node client alone and with an echo in place of nodes; rate, percentiles, bytes allocated and module time a request.

--- a/src/main/java/hollyslip/engine/Attempt.java
+++ b/src/main/java/hollyslip/engine/Attempt.java
@@ -24,6 +24,14 @@
     this.sentAt = sentAt;
   }
 
+  /** An attempt that no engine knows of, for measurements of a node client alone. */
+  public static Attempt bare(long request, IoKind kind, int shard, long offset, List<ByteBuffer> data) {
+    long length = data.stream().mapToLong(ByteBuffer::remaining).sum();
+    Io io = new Io("", kind, offset, length, data, 0, null);
+    Operation op = new Operation(io, null, "", true, 0, 0);
+    return new Attempt(new Piece(request, op, shard, offset, 0, length), 0, 0, 0);
+  }
+
   /** The node that it goes to. */
   public long node() {
     return node;
--- /dev/null
+++ b/src/main/java/hollyslip/load/RingBench.java
@@ -0,0 +1,178 @@
+package hollyslip.load;
+
+import com.sun.management.ThreadMXBean;
+import hollyslip.engine.Engine;
+import hollyslip.node.NbdDirect;
+import hollyslip.volume.IoKind;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import org.HdrHistogram.Histogram;
+
+/** Reads of 4 KiB as fast as they are answered, at a depth: through a ring, or with the node client alone. */
+public final class RingBench {
+  private static final int BYTES = 4_096;
+
+  /** One measurement: requests a second, latencies in us, bytes allocated and module time a request in ns. */
+  public record Row(String path, int depth, double rate, double p50, double p99, double p999, double allocated,
+      double moduleNs) {
+    /** Medians, figure by figure. */
+    public static Row median(List<Row> rows) {
+      Row first = rows.get(0);
+      return new Row(first.path, first.depth, mid(rows, Row::rate), mid(rows, Row::p50), mid(rows, Row::p99), mid(rows,
+          Row::p999), mid(rows, Row::allocated), mid(rows, Row::moduleNs));
+    }
+
+    private static double mid(List<Row> rows, java.util.function.ToDoubleFunction<Row> f) {
+      double[] all = rows.stream().mapToDouble(f).sorted().toArray();
+      return all[all.length / 2];
+    }
+  }
+
+  private RingBench() {}
+
+  /** A stand-in without service times in a process of its own. */
+  public static final class Node implements AutoCloseable {
+    private final Process process;
+    public final InetSocketAddress address;
+
+    public Node(String name) throws IOException {
+      process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", System
+          .getProperty("java.class.path"), "hollyslip.cli.Main", "standin", "--name", name).redirectError(
+              ProcessBuilder.Redirect.INHERIT).start();
+      BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+      address = new InetSocketAddress("127.0.0.1", Integer.parseInt(out.readLine().split(" ")[1]));
+    }
+
+    @Override
+    public void close() {
+      process.destroy();
+    }
+  }
+
+  /** Through a ring: {@code engine} is the gateway's, in this process; null: not looked into. */
+  public static Row ring(String path, Path socket, int depth, double seconds, long bytes, Engine engine)
+      throws IOException {
+    int size = Integer.highestOneBit(Math.max(4, 2 * depth - 1));
+    try (RingClient c = new RingClient(RingClient.Options.usual(1, size, BYTES))) {
+      c.connect(socket);
+      Histogram h = new Histogram(60_000_000_000L, 3);
+      SplittableRandom random = new SplittableRandom(1);
+      long warm = System.nanoTime() + (long) (seconds * 5e8);
+      long until = warm + (long) (seconds * 1e9);
+      long counted = 0;
+      long failed = 0;
+      Engine.Totals before = engine.totals();
+      Map<Long, Long> allocated = allocated();
+      boolean measuring = false;
+      int[] bad = {0};
+      for (long now = System.nanoTime(); now < until; now = System.nanoTime()) {
+        if (!measuring && now >= warm) {
+          measuring = true;
+          h.reset();
+          bad[0] = 0;
+          before = engine.totals();
+          allocated = allocated();
+          counted = now;
+        }
+        while (c.out() < depth) {
+          long asked = System.nanoTime();
+          c.submit(0, IoKind.READ, random.nextLong(bytes / BYTES) * BYTES, BYTES, null, (s, r, d) -> {
+            h.recordValue(System.nanoTime() - asked);
+            bad[0] += s == 0 ? 0 : 1;
+          });
+        }
+        c.kick();
+        if (c.poll() == 0) {
+          Thread.onSpinWait();
+        }
+      }
+      double took = (System.nanoTime() - counted) / 1e9;
+      failed = bad[0];
+      Engine.Totals after = engine.totals();
+      double n = Math.max(1, h.getTotalCount());
+      long garbage = grown(allocated);
+      if (failed > 0) {
+        throw new IOException(failed + " of " + (long) n + " requests were not served");
+      }
+      return row(path, depth, h, took, garbage / n, (after.moduleNs() - before.moduleNs()) / n);
+    }
+  }
+
+  /** With the node client alone. */
+  public static Row direct(InetSocketAddress node, int depth, double seconds, long bytes) throws IOException,
+      InterruptedException {
+    ArrayBlockingQueue<Long> answers = new ArrayBlockingQueue<>(2 * depth);
+    Map<Long, Long> asked = new ConcurrentHashMap<>();
+    Histogram h = new Histogram(60_000_000_000L, 3);
+    SplittableRandom random = new SplittableRandom(1);
+    try (NbdDirect d = new NbdDirect(node, "shard-0", (id, ok) -> answers.add(id))) {
+      ByteBuffer[] into = new ByteBuffer[depth];
+      Arrays.setAll(into, i -> ByteBuffer.allocateDirect(BYTES));
+      long warm = System.nanoTime() + (long) (seconds * 5e8);
+      long until = warm + (long) (seconds * 1e9);
+      long counted = warm;
+      int out = 0;
+      boolean measuring = false;
+      for (long now = System.nanoTime(); now < until; now = System.nanoTime()) {
+        if (!measuring && now >= warm) {
+          measuring = true;
+          h.reset();
+          counted = now;
+        }
+        boolean more = out < depth;
+        for (; out < depth; out++) {
+          long at = System.nanoTime();
+          asked.put(d.read(random.nextLong(bytes / BYTES) * BYTES, into[out]), at);
+        }
+        if (more) {
+          d.flush();
+        }
+        for (Long id = answers.poll(); id != null; id = answers.poll()) {
+          h.recordValue(System.nanoTime() - asked.remove(id));
+          out--;
+        }
+      }
+      return row("direct", depth, h, (System.nanoTime() - counted) / 1e9, 0, 0);
+    }
+  }
+
+  private static Row row(String path, int depth, Histogram h, double seconds, double allocated, double moduleNs) {
+    return new Row(path, depth, h.getTotalCount() / seconds, h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99)
+        / 1e3, h.getValueAtPercentile(99.9) / 1e3, allocated, moduleNs);
+  }
+
+  /** Bytes that each of the gateway's threads has allocated; the client's own thread does not count. */
+  private static Map<Long, Long> allocated() {
+    ThreadMXBean bean = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    Map<Long, Long> all = new java.util.HashMap<>();
+    List<Long> ids = new ArrayList<>();
+    for (long id : bean.getAllThreadIds()) {
+      if (id != Thread.currentThread().getId()) {
+        ids.add(id);
+      }
+    }
+    ids.forEach(id -> all.put(id, bean.getThreadAllocatedBytes(id)));
+    return all;
+  }
+
+  private static long grown(Map<Long, Long> before) {
+    long sum = 0;
+    for (Map.Entry<Long, Long> e : allocated().entrySet()) {
+      sum += Math.max(0, e.getValue() - before.getOrDefault(e.getKey(), 0L));
+    }
+    return sum;
+  }
+}
