--- a/src/main/java/hollyslip/cli/BenchRing.java
+++ b/src/main/java/hollyslip/cli/BenchRing.java
@@ -75,30 +75,32 @@
   }
 
   private void print(Map<String, List<Row>> rows) {
-    System.out.printf("%-8s %6s %10s %9s %9s %9s %11s %11s %8s%n", "path", "depth", "requests/s", "p50 us", "p99 us",
-        "p99.9 us", "bytes/req", "module ns", "/direct");
+    System.out.printf("%-8s %6s %10s %9s %9s %9s %11s %11s %8s%n", "path", "depth", "requests/s", "p50 us",
+        "p99 us", "p99.9 us", "bytes/req", "module ns", "/direct");
     for (int depth : depths) {
       double direct = Row.median(rows.get("direct" + depth)).rate();
       for (String path : List.of("echo", "direct", "gateway")) {
         Row r = Row.median(rows.get(path + depth));
-        System.out.printf(Locale.ROOT, "%-8s %6d %10.0f %9.1f %9.1f %9.1f %11.0f %11.0f %8.2f%n", path, depth, r.rate(), r
-            .p50(), r.p99(), r.p999(), r.allocated(), r.moduleNs(), r.rate() / direct);
+        System.out.printf(Locale.ROOT, "%-8s %6d %10.0f %9.1f %9.1f %9.1f %11.0f %11.0f %8.2f%n", path, depth,
+            r.rate(), r.p50(), r.p99(), r.p999(), r.allocated(), r.moduleNs(), r.rate() / direct);
       }
     }
   }
 
   private static Deployment deployment(Path dir, List<Node> nodes) throws IOException {
-    StringBuilder s = new StringBuilder("""
-        gateway("bench", socket_dir = "run", state_dir = "state", unit_bytes = 4 * KiB)
-        rules(drain_grace = seconds(1), cold_from = 0.2, cold = seconds(5), fall_multiple = 3, fall = seconds(2), settle = ms(300))
-        store(mean_units = 1, most_units = 256)
-        request_class("any", kinds = ["read", "write", "flush", "discard", "write_zeroes"], effect = "safe", aim = ms(250), deadline = seconds(5))
-        plan("p", rate = 1e6, reserve = 1e6, weight = 1)
-        """);
+    StringBuilder s = new StringBuilder(
+        """
+            gateway("bench", socket_dir = "run", state_dir = "state", unit_bytes = 4 * KiB)
+            rules(drain_grace = seconds(1), cold_from = 0.2, cold = seconds(5), fall_multiple = 3, fall = seconds(2), settle = ms(300))
+            store(mean_units = 1, most_units = 256)
+            request_class("any", kinds = ["read", "write", "flush", "discard", "write_zeroes"], effect = "safe", aim = ms(250), deadline = seconds(5))
+            plan("p", rate = 1e6, reserve = 1e6, weight = 1)
+            """);
     for (int i = 0; i < nodes.size(); i++) {
       s.append(String.format("node('n-%d', port = %d, shard = %d)%n", i, nodes.get(i).address.getPort(), i));
     }
-    s.append(String.format("volume('v', plan = 'p', size = 16 * MiB, extent = 64 * KiB, shards = list(range(%d)), at = 0)%n",
+    s.append(String.format(
+        "volume('v', plan = 'p', size = 16 * MiB, extent = 64 * KiB, shards = list(range(%d)), at = 0)%n",
         nodes.size()));
     Loader.Loaded loaded = Loader.load(Files.writeString(dir.resolve("bench.star"), s));
     if (!loaded.faults().isEmpty()) {
@@ -109,8 +111,8 @@
 
   /** An engine whose nodes answer at once without any bytes: what ring, engine and module cost. */
   private static Engine echo(Deployment d) {
-    Engine e = new Engine(new Engine.Config(d.module(), new Classifier(d.rows(), d.gateway().unitBytes(), d.store()
-        .mostUnits()), new Splitter(1 << 20), 65_536, 1 << 30), d.byName(), new Choice(d.module()));
+    Engine e = new Engine(new Engine.Config(d.module(), new Classifier(d.rows(), d.gateway().unitBytes(), d
+        .store().mostUnits()), new Splitter(1 << 20), 65_536, 1 << 30), d.byName(), new Choice(d.module()));
     e.start(new NodePort() {
       @Override
       public void send(Attempt attempt) {
@@ -137,7 +139,8 @@
       @Override
       public void close() {}
     });
-    e.nodes(new hollyslip.HostScheduler.NodeList(true, d.nodes().stream().map(Deployment.Node::listed).toList()));
+    e.nodes(new hollyslip.HostScheduler.NodeList(true, d.nodes().stream().map(Deployment.Node::listed)
+        .toList()));
     return e;
   }
 }
--- a/src/main/java/hollyslip/cli/Days.java
+++ b/src/main/java/hollyslip/cli/Days.java
@@ -9,12 +9,15 @@
 
 /** Plays a day and prints what came of it: what demo and replay share. */
 final class Days {
+  /** Between a request's publishing and its taking, also while a restarted gateway warms up, us. */
+  private static final long SLACK_US = 100_000;
+
   private Days() {}
 
   static int play(Day day, Path dir) throws IOException, InterruptedException {
     Path records = dir == null ? Files.createTempDirectory("hollyslip-day-") : dir;
     System.out.println("records and logs: " + records);
-    DayRunner.Result r = new DayRunner(day, records, System.out).play();
+    DayRunner.Result r = new DayRunner(day, records, System.out, SLACK_US).play();
     System.out.println();
     System.out.printf("%-12s %10s%n", "answer", "requests");
     r.answers().forEach((a, n) -> System.out.printf("%-12s %10d%n", a.name().toLowerCase(Locale.ROOT), n));
--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -89,11 +89,27 @@
     }
   }
 
+  private void logChanges(List<Listed> before) {
+    List<Listed> now = membership.list();
+    for (Listed l : now) {
+      Listed old = before.stream().filter(b -> b.node() == l.node()).findFirst().orElse(null);
+      if (old == null || old.state() != l.state()) {
+        LOG.atInfo().addKeyValue("node", l.node()).addKeyValue("shard", l.cell()).addKeyValue("state", l
+            .state()).log("node.state");
+      }
+    }
+    before.stream().filter(b -> now.stream().noneMatch(l -> l.node() == b.node())).forEach(b -> LOG.atInfo()
+        .addKeyValue("node", b.node()).addKeyValue("shard", b.cell()).addKeyValue("state", "GONE").log(
+            "node.state"));
+  }
+
   /** Takes on another node list; the rest of the settings stays as it was. */
   public void nodes(Deployment next) {
     List<NodePool.Address> addresses = addresses(next);
     engine.execute(() -> pool.addresses(addresses));
+    List<Listed> before = membership.list();
     membership.replace(listed(next));
+    logChanges(before);
     LOG.atInfo().addKeyValue("nodes", next.nodes().size()).log("nodes.replaced");
   }
 
--- a/src/main/java/hollyslip/cli/StandinCommand.java
+++ b/src/main/java/hollyslip/cli/StandinCommand.java
@@ -29,6 +29,8 @@
   long baseUs;
   @Option(names = "--seed", defaultValue = "1", description = "seed of service times and chances")
   long seed;
+  @Option(names = "--data", description = "folder for its exports; in memory if not given")
+  Path data;
   @Option(names = "--records", description = "folder for its records at the end")
   Path records;
 
@@ -37,7 +39,7 @@
     DiskServer.Config plain = cores == 0
         ? DiskServer.Config.plain(name, (long) shardMib << 20, records != null)
         : DiskServer.Config.timed(name, (long) shardMib << 20, cores, queue, baseUs, seed);
-    try (DiskServer server = new DiskServer(plain, port)) {
+    try (DiskServer server = new DiskServer(plain, port, data)) {
       System.out.println("port " + server.address().getPort());
       BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
       for (String line = in.readLine(); line != null; line = in.readLine()) {
--- a/src/main/java/hollyslip/load/Day.java
+++ b/src/main/java/hollyslip/load/Day.java
@@ -53,8 +53,9 @@
 
   /** Kinds of trouble that can be played. */
   public static final Set<String> KINDS = Set.of("stall", "vanish", "hang", "fast-errors", "burst",
-      "plan-burst", "volume-burst", "heavy-tail", "list-down", "gateway-crash", "reconnect", "answer-lost",
-      "retry-abuse", "mass-restart", "preempt", "drain", "late-write", "slow", "full", "client-vanish");
+      "plan-burst", "volume-burst", "hot-volumes", "scan", "heavy-tail", "list-down", "gateway-crash",
+      "reconnect", "answer-lost", "retry-abuse", "mass-restart", "preempt", "drain", "late-write", "slow",
+      "full", "client-vanish");
 
   private static final Set<String> NODE_WORDS = Set.of("count", "cores", "queue", "base-us");
   private static final Set<String> PLAN_WORDS = Set.of("rate", "reserve", "weight", "price", "limit",
--- a/src/main/java/hollyslip/load/DayRunner.java
+++ b/src/main/java/hollyslip/load/DayRunner.java
@@ -37,6 +37,7 @@
   private final Day day;
   private final Path dir;
   private final PrintStream out;
+  private final long slackUs;
   private final SplittableRandom random;
   private final List<DiskServer> disks = new ArrayList<>();
   private final NodeState[] states;
@@ -69,7 +70,11 @@
     }
   }
 
-  public DayRunner(Day day, Path dir, PrintStream out) {
+  /** @param slackUs
+   *          how much later than a deployment promises an answer may reach its client: the two ends' clocks
+   *          of one request begin at its publishing and its taking */
+  public DayRunner(Day day, Path dir, PrintStream out, long slackUs) {
+    this.slackUs = slackUs;
     this.day = day;
     this.dir = dir;
     this.out = out;
@@ -245,6 +250,14 @@
       case "burst" -> loads(t, c -> true);
       case "plan-burst" -> loads(t, c -> c.volume().plan().equals(t.target()));
       case "volume-burst" -> loads(t, c -> c.volume().volume().equals(t.target()));
+      case "hot-volumes", "scan" -> {
+        List<Client> hot = clients.stream().filter(c -> random.nextDouble() < t.part()).toList();
+        loads(t, hot::contains);
+        if (t.kind().equals("scan")) {
+          at(t.at(), "", () -> hot.forEach(c -> c.load().readsOnly(true)));
+          at(end, "", () -> hot.forEach(c -> c.load().readsOnly(false)));
+        }
+      }
       case "retry-abuse" -> {
         at(t.at(), "clients of " + t.target() + " ask again at once", () -> of(t).forEach(c -> c.load()
             .abusive(true)));
@@ -407,9 +420,9 @@
       }
     });
     var r = d.rules();
-    // The client's clock starts when it publishes a request and the gateway's when it takes it from the ring.
-    return new Figures(r.answerSlackUs() + 50_000, r.drainGraceUs(), r.orderSettleUs(), d.store().coldUnits(),
-        r.coldFrom(), r.coldUs(), r.fallUs(), r.budgetFree(), r.budgetShare(), r.budgetWindowUs(), 50_000, d
-            .volumes().get(0).extentBytes(), d.gateway().unitBytes(), d.store().mostUnits(), limits, areas);
+    return new Figures(r.answerSlackUs() + slackUs, r.drainGraceUs(), r.orderSettleUs(), d.store()
+        .coldUnits(), r.coldFrom(), r.coldUs(), r.fallUs(), r.budgetFree(), r.budgetShare(), r
+            .budgetWindowUs(), 50_000, d.volumes().get(0).extentBytes(), d.gateway().unitBytes(), d.store()
+                .mostUnits(), limits, areas);
   }
 }
--- a/src/main/java/hollyslip/load/RingBench.java
+++ b/src/main/java/hollyslip/load/RingBench.java
@@ -26,13 +26,13 @@
   private static final int BYTES = 4_096;
 
   /** One measurement: requests a second, latencies in us, bytes allocated and module time a request in ns. */
-  public record Row(String path, int depth, double rate, double p50, double p99, double p999, double allocated,
-      double moduleNs) {
+  public record Row(String path, int depth, double rate, double p50, double p99, double p999,
+      double allocated, double moduleNs) {
     /** Medians, figure by figure. */
     public static Row median(List<Row> rows) {
       Row first = rows.get(0);
-      return new Row(first.path, first.depth, mid(rows, Row::rate), mid(rows, Row::p50), mid(rows, Row::p99), mid(rows,
-          Row::p999), mid(rows, Row::allocated), mid(rows, Row::moduleNs));
+      return new Row(first.path, first.depth, mid(rows, Row::rate), mid(rows, Row::p50), mid(rows, Row::p99),
+          mid(rows, Row::p999), mid(rows, Row::allocated), mid(rows, Row::moduleNs));
     }
 
     private static double mid(List<Row> rows, java.util.function.ToDoubleFunction<Row> f) {
@@ -49,10 +49,11 @@
     public final InetSocketAddress address;
 
     public Node(String name) throws IOException {
-      process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", System
-          .getProperty("java.class.path"), "hollyslip.cli.Main", "standin", "--name", name).redirectError(
-              ProcessBuilder.Redirect.INHERIT).start();
-      BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+      process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+          System.getProperty("java.class.path"), "hollyslip.cli.Main", "standin", "--name", name)
+          .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+      BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
+          StandardCharsets.UTF_8));
       address = new InetSocketAddress("127.0.0.1", Integer.parseInt(out.readLine().split(" ")[1]));
     }
 
@@ -149,9 +150,10 @@
     }
   }
 
-  private static Row row(String path, int depth, Histogram h, double seconds, double allocated, double moduleNs) {
-    return new Row(path, depth, h.getTotalCount() / seconds, h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99)
-        / 1e3, h.getValueAtPercentile(99.9) / 1e3, allocated, moduleNs);
+  private static Row row(String path, int depth, Histogram h, double seconds, double allocated,
+      double moduleNs) {
+    return new Row(path, depth, h.getTotalCount() / seconds, h.getValueAtPercentile(50) / 1e3, h
+        .getValueAtPercentile(99) / 1e3, h.getValueAtPercentile(99.9) / 1e3, allocated, moduleNs);
   }
 
   /** Bytes that each of the gateway's threads has allocated; the client's own thread does not count. */
--- a/src/main/java/hollyslip/load/RingLoad.java
+++ b/src/main/java/hollyslip/load/RingLoad.java
@@ -65,6 +65,7 @@
   private volatile double speed = 1;
   private volatile boolean abusive;
   private volatile boolean dropping;
+  private volatile boolean readsOnly;
   private int repeats;
   private volatile int asked;
   private boolean connected;
@@ -156,6 +157,11 @@
     abusive = on;
   }
 
+  /** Reads alone, or as planned. */
+  public void readsOnly(boolean on) {
+    readsOnly = on;
+  }
+
   /** Drops the connection and comes again. */
   public void drop() {
     dropping = true;
@@ -263,7 +269,7 @@
     int blocks = 1 + random.nextInt(plan.mostBlocks());
     long room = plan.bytes() / Stamps.BLOCK - blocks;
     long offset = plan.from() + random.nextLong(room + 1) * Stamps.BLOCK;
-    boolean read = random.nextDouble() < plan.reads();
+    boolean read = random.nextDouble() < plan.reads() || readsOnly;
     int length = blocks * Stamps.BLOCK;
     if (!read && overlapsWrite(offset, length)) {
       read = true;
--- a/src/main/java/hollyslip/node/NbdConnection.java
+++ b/src/main/java/hollyslip/node/NbdConnection.java
@@ -204,6 +204,27 @@
     return handshake.has(Nbd.CAN_MULTI_CONN);
   }
 
+  /** Says goodbye where that can be done at once, then closes. */
+  void leave(String why) {
+    boolean idle;
+    synchronized (this) {
+      idle = ready && !writing && !closed;
+      writing |= idle;
+    }
+    if (!idle) {
+      close(why);
+      return;
+    }
+    ByteBuffer bye = ByteBuffer.allocate(HEADER).putInt(Nbd.REQUEST).putShort((short) 0).putShort(
+        (short) Nbd.CMD_DISC).putLong(0).putLong(0).putInt(0).flip();
+    channel.write(bye, null, new Handler<Integer, Void>() {
+      @Override
+      public void completed(Integer n, Void none) {
+        close(why);
+      }
+    });
+  }
+
   void close(String why) {
     List<Attempt> waiting = new ArrayList<>();
     List<Attempt> sent = new ArrayList<>();
--- a/src/main/java/hollyslip/node/NbdDirect.java
+++ b/src/main/java/hollyslip/node/NbdDirect.java
@@ -21,7 +21,8 @@
   private final BiConsumer<Long, Boolean> done;
   private long next;
 
-  /** @param done hears the number of each request and whether it was served, from any thread */
+  /** @param done
+   *          hears the number of each request and whether it was served, from any thread */
   public NbdDirect(InetSocketAddress at, String export, BiConsumer<Long, Boolean> done) throws IOException,
       InterruptedException {
     this.done = done;
@@ -65,7 +66,8 @@
     public void probed(NbdConnection c, Result result, long tookUs, long[] load) {}
 
     @Override
-    public void closed(NbdConnection c, String why, List<Attempt> waiting, List<Attempt> sent, List<Attempt> silent) {
+    public void closed(NbdConnection c, String why, List<Attempt> waiting, List<Attempt> sent,
+        List<Attempt> silent) {
       ready.countDown();
     }
   }
--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -206,7 +206,7 @@
   @Override
   public void close() {
     closing = true;
-    targets.values().forEach(t -> List.copyOf(t.connections).forEach(c -> c.close("the gateway ends")));
+    targets.values().forEach(t -> List.copyOf(t.connections).forEach(c -> c.leave("the gateway ends")));
     group.shutdown();
   }
 
--- a/src/main/java/hollyslip/standin/DiskServer.java
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -11,7 +11,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -62,6 +65,7 @@
 
   public final Faults faults = new Faults();
   private final Config config;
+  private final Path folder;
   private final Map<String, Memory> exports = new ConcurrentHashMap<>();
   private final ConcurrentLinkedQueue<Command> log = new ConcurrentLinkedQueue<>();
   private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
@@ -85,7 +89,20 @@
 
     Memory(String name, long size) {
       this.name = name;
-      data = ByteBuffer.allocateDirect((int) size);
+      data = folder == null ? ByteBuffer.allocateDirect((int) size) : mapped(name, size);
+    }
+  }
+
+  /** An export kept in a file: it outlives the process. */
+  private ByteBuffer mapped(String name, long size) {
+    if (!name.matches("[A-Za-z0-9._-]+")) {
+      throw new IllegalArgumentException("export: '" + name + "' cannot be a file's name");
+    }
+    try (FileChannel c = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
+        StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+      return c.map(FileChannel.MapMode.READ_WRITE, 0, size);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
     }
   }
 
@@ -100,11 +117,13 @@
 
   /** Starts on a free port of the loopback address. */
   public DiskServer(Config config) throws IOException {
-    this(config, 0);
+    this(config, 0, null);
   }
 
-  /** Starts on a port of the loopback address; 0: a free one. */
-  public DiskServer(Config config, int wanted) throws IOException {
+  /** Starts on a port of the loopback address, 0: a free one; exports in files of {@code folder}, null: in
+   * memory. */
+  public DiskServer(Config config, int wanted, Path folder) throws IOException {
+    this.folder = folder;
     this.config = config;
     this.random = new SplittableRandom(config.seed());
     bornUs = now() - config.ageUs();
--- /dev/null
+++ b/src/test/java/hollyslip/load/DayTest.java
@@ -0,0 +1,57 @@
+package hollyslip.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Day files, and a short day played whole. */
+class DayTest {
+  private static final String SHORT = """
+      day 5
+      seed 3
+      gateways 2
+      nodes count 3 cores 4 queue 32 base-us 800
+      plan gold rate 400 reserve 200 weight 2
+      plan capped rate 200 reserve 50 weight 1 limit 500 limit-burst 100 limit-slack 20
+      volume a plan gold rate 80 size-mib 6
+      volume b plan capped rate 60 size-mib 6 reads 0.4
+      at 1 vanish target store-1 for 1.5
+      at 1.2 answer-lost part 0.4 size 0.2 for 1
+      at 2 gateway-crash for 0.5
+      at 3.2 drain target store-2 for 1
+      at 3.4 volume-burst target b size 5 for 1
+      """;
+
+  private static String wrong(String text) {
+    return assertThrows(Day.Wrong.class, () -> Day.parse(text)).getMessage();
+  }
+
+  @Test
+  void faultsNameTheLine() {
+    assertEquals(5, Day.parse(SHORT).troubles().size());
+    assertEquals("line 2: 'wether' is not known", wrong("day 5\nwether bad\n"));
+    assertTrue(wrong("at 5 flood\n").startsWith("line 1: trouble 'flood' is not known"));
+    assertTrue(wrong("nodes count many\n").startsWith(
+        "line 1: nodes: a number must stand where 'many' does"));
+    assertTrue(wrong("day 5\nvolume a plan gold rate 5\n").contains("plan gold is not given"));
+    assertTrue(wrong("day 5\n").contains("no volume"));
+    assertTrue(wrong("plan p rate\n").contains("where 'nothing' does"));
+  }
+
+  @Test
+  @Timeout(value = 90, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void aShortDayKeepsAllRules(@TempDir Path dir) throws Exception {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    DayRunner.Result r = new DayRunner(Day.parse(SHORT), dir, new PrintStream(out), 500_000).play();
+    assertTrue(r.kept(), r.audit().breaches() + " " + r.wrongReads() + " " + out);
+    assertTrue(r.audit().checked().values().stream().mapToLong(n -> n).sum() > 500, r.audit().checked()
+        .toString());
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/recovery/RecoveryTest.java
@@ -0,0 +1,108 @@
+package hollyslip.recovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a killed gateway finds again. */
+class RecoveryTest {
+  @Test
+  void whatIsInFlightComesBackInOrder() {
+    ByteBuffer region = ByteBuffer.allocate(InflightLog.bytes(8));
+    InflightLog log = new InflightLog(region, 8);
+    assertEquals(List.of(), log.recover(0));
+    for (int head : new int[]{5, 1, 7, 2}) {
+      log.taken(head);
+    }
+    log.answering(1);
+    log.answered(1, 1);
+    InflightLog after = new InflightLog(region, 8);
+    assertEquals(List.of(5, 7, 2), after.recover(1));
+    after.taken(0);
+    assertEquals(List.of(5, 7, 2, 0), new InflightLog(region, 8).recover(1));
+  }
+
+  /** Killed between any two steps of an answer, a request is either answered or in flight, never both or
+   * neither. */
+  @Test
+  void killedBetweenAnyTwoStepsNothingIsLostOrDoubled() {
+    ByteBuffer region = ByteBuffer.allocate(InflightLog.bytes(8));
+    InflightLog log = new InflightLog(region, 8);
+    log.recover(0);
+    log.taken(3);
+    log.taken(4);
+    log.answering(3);
+    assertEquals(List.of(3, 4), copy(region).recover(0), "not published yet");
+    assertEquals(List.of(4), copy(region).recover(1), "published, not noted");
+    log.answered(3, 1);
+    assertEquals(List.of(4), copy(region).recover(1));
+  }
+
+  private static InflightLog copy(ByteBuffer region) {
+    byte[] bytes = region.array().clone();
+    return new InflightLog(ByteBuffer.wrap(bytes), 8);
+  }
+
+  /** A long run with kills at random places, against a plain list. */
+  @Test
+  void aLongRunWithKills() {
+    SplittableRandom random = new SplittableRandom(3);
+    ByteBuffer region = ByteBuffer.allocate(InflightLog.bytes(16));
+    InflightLog log = new InflightLog(region, 16);
+    log.recover(0);
+    List<Integer> out = new ArrayList<>();
+    int used = 0;
+    for (int i = 0; i < 20_000; i++) {
+      int head = random.nextInt(16);
+      if (!out.contains(head)) {
+        log.taken(head);
+        out.add(head);
+      } else {
+        out.remove((Integer) head);
+        log.answering(head);
+        used = used + 1 & 0xffff;
+        if (random.nextInt(4) > 0) {
+          log.answered(head, used);
+        } else {
+          log = new InflightLog(region, 16);
+          assertEquals(out, log.recover(used));
+        }
+      }
+    }
+  }
+
+  @Test
+  void noiseInTheRegionIsNoFault() {
+    SplittableRandom random = new SplittableRandom(8);
+    for (int i = 0; i < 500; i++) {
+      byte[] noise = new byte[InflightLog.bytes(8)];
+      random.nextBytes(noise);
+      noise[8] = 1;
+      noise[9] = 0;
+      List<Integer> heads = new InflightLog(ByteBuffer.wrap(noise), 8).recover(5);
+      assertTrue(heads.stream().distinct().count() == heads.size() && heads.size() <= 8);
+    }
+    assertThrows(IllegalArgumentException.class, () -> new InflightLog(ByteBuffer.allocate(20), 8));
+  }
+
+  @Test
+  void epochsGrowAndAreNeverGuessed(@TempDir Path dir) throws Exception {
+    Path file = dir.resolve("state/epoch");
+    assertEquals(1, Epoch.take(file));
+    assertEquals(2, Epoch.take(file));
+    Files.writeString(file, "rubbish");
+    IOException e = assertThrows(IOException.class, () -> Epoch.take(file));
+    assertTrue(e.getMessage().contains("epoch: not a number: 'rubbish'"));
+    assertEquals("rubbish", Files.readString(file));
+  }
+}
