The window widens past 4.25, and jitter of microseconds is no queue

Cause: a window that is not a whole number never counted as full, so it stayed at 4.25 at most; and on nodes that answer in microseconds jitter of several times kept it at one or two.

Change: full is told from the whole part; latencies under a hundredth of the shortest aim count as near the usual. Threads look for work adaptively before they sleep.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -38,6 +38,11 @@
   /** ...and narrows above this one; between the two it rests, so that noise does not move it. */
   static final double FAR_FROM_USUAL = 2.4;
 
+  /** Part of the shortest aim below which latencies tell of no queue, however they differ: nodes that answer
+   * in microseconds jitter by several times, which would keep the window at one or two. Harm: at such a node
+   * a queue of that length goes unseen. */
+  static final double NOISE = 0.01;
+
   /** Part of the window kept by one narrowing, of which there is at most one a latency. */
   static final double NARROW = 0.85;
 
@@ -416,9 +421,10 @@
         restart(now);
       }
       refused = 0;
-      if (seen < NEAR_USUAL * usual) {
-        window = Math.min(WINDOW_MAX, out >= window - 1 ? window + 1 / window : window);
-      } else if (seen > FAR_FROM_USUAL * usual) {
+      double near = Math.max(usual, NOISE * shortestAim);
+      if (seen < NEAR_USUAL * near) {
+        window = Math.min(WINDOW_MAX, out + 1 >= (int) window ? window + 1 / window : window);
+      } else if (seen > FAR_FROM_USUAL * near) {
         narrow(NARROW);
       }
     }
--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -3,6 +3,7 @@
 import hollyslip.engine.Answer;
 import hollyslip.engine.Engine;
 import hollyslip.engine.Io;
+import hollyslip.engine.Spin;
 import hollyslip.front.sys.Linux;
 import hollyslip.recovery.InflightLog;
 import hollyslip.volume.Volume;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,9 +42,6 @@
   private static final int SEG_MAX = 126;
   private static final long MOST_INFLIGHT_BYTES = 1 << 20;
 
-  /** How long it looks at its queues before it sleeps, ns: a wake costs more. Harm: so much of a core. */
-  private static final long SPIN_NS = 30_000;
-
   /** Requests taken off one queue before the others get their turn. */
   private static final int TURN = 64;
 
@@ -59,6 +58,8 @@
   private final Set<Taken> flight = new LinkedHashSet<>();
   private final ConcurrentLinkedQueue<Taken> answers = new ConcurrentLinkedQueue<>();
   private final Runnable roomListener = this::wake;
+  private final Spin spin = new Spin();
+  private final BooleanSupplier work = () -> !answers.isEmpty() || anyMore();
   private volatile boolean sleeping;
   private volatile boolean over;
   private boolean wakeClosed;
@@ -195,12 +196,8 @@
       looksAt(0);
       return;
     }
-    long until = System.nanoTime() + SPIN_NS;
-    while (System.nanoTime() < until) {
-      if (!answers.isEmpty() || anyMore()) {
-        return;
-      }
-      Thread.onSpinWait();
+    if (spin.until(Long.MAX_VALUE, work)) {
+      return;
     }
     sleeping = true;
     boolean more = !answers.isEmpty() || over;
