The module works out expected latency and earnings once a choice

Cause: with many requests held, each comparison worked out the node's expected latency four times over, an exponential each.

Change: once a choice, and the best earnings are kept; the decisions are the same.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -319,6 +319,8 @@
     /** What one host may send while it is cold: half the safe units at once, half over the rule's window. */
     Limit safe;
     double seen = usual, gap = FADE_MOST;
+    /** Expected latency as of the present choice: the same for all that is looked at. */
+    double wait;
     boolean silent;
     int out, held, refused;
     long narrowedAt, answeredSentAt, seenAt, sampledAt, askedAt;
@@ -756,28 +758,29 @@
   private Pending pick(Node n) {
     Pending choice = null;
     Volume of = null;
+    double most = 0;
+    n.wait = n.expected();
     for (Volume v : n.volumes.values()) {
       v.fill(now);
       for (Pending p : v.held.values()) {
         if (!ready(n, p)) {
           blocked = true;
-        } else if (choice == null || before(n, v, p, of, choice)) {
+          continue;
+        }
+        double earns = earns(n, p);
+        if (choice == null || earns > most || earns == most && before(v, p, of, choice)) {
           choice = p;
           of = v;
+          most = earns;
         }
       }
     }
     return choice;
   }
 
-  /** What earns most a unit first; then due before not due; the due by due time, the others by weight; within
-   * a volume the nearest aim; then by arrival. */
-  private boolean before(Node n, Volume a, Pending p, Volume b, Pending q) {
-    double earnsP = earns(n, p);
-    double earnsQ = earns(n, q);
-    if (earnsP != earnsQ) {
-      return earnsP > earnsQ;
-    }
+  /** Among those that earn the same a unit: due before not due; the due by due time, the others by weight;
+   * within a volume the nearest aim; then by arrival. */
+  private boolean before(Volume a, Pending p, Volume b, Pending q) {
     if (a == b) {
       return p.aimAt != q.aimAt ? p.aimAt < q.aimAt : p.seq < q.seq;
     }
@@ -794,7 +797,7 @@
 
   /** Whether the answer can no longer come within the aim. */
   private boolean late(Node n, Pending p) {
-    return p.aimAt < now + (long) (n.expected() + beyondMean(p));
+    return p.aimAt < now + (long) (n.wait + beyondMean(p));
   }
 
   /** Latency of a request beyond that of one of mean units: a large one tells of no queue. */
