--- a/src/main/java/hollyslip/load/RingClient.java
+++ b/src/main/java/hollyslip/load/RingClient.java
@@ -63,9 +63,10 @@
     final long at;
     public final ByteBuffer table, avail, used;
     final int slots;
-    final Done[] out;
-    final int[] lengths;
-    final ArrayDeque<Integer> free = new ArrayDeque<>();
+    /** By slot: who waits, how many bytes of data are out, and which are free; for raw requests. */
+    public final Done[] out;
+    public final int[] lengths;
+    public final ArrayDeque<Integer> free = new ArrayDeque<>();
     int kick = -1, call = -1;
     int availIdx, usedIdx, kicked;
 
