A node that never comes back keeps no blocks locked

Cause: a write in doubt at a node that died held its blocks until that node answered a negotiation, which a node that was replaced never does.

Change: when the list no longer names a node, what may still run there counts as over after the settle time.

--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -69,6 +69,7 @@
     /** Changes of dead connections that may still run there, by serial of the connection. */
     final Map<Long, List<Attempt>> doubts = new LinkedHashMap<>();
     long serials;
+    boolean listed = true;
   }
 
   public NodePool(Engine engine, Limits limits, List<String> reportFields, News news, int threads)
@@ -88,9 +89,17 @@
   /** Where nodes are from now on; on the engine's thread or before its start. A node no longer named keeps
    * its connections until they end. */
   public void addresses(List<Address> all) {
+    Set<Long> named = new TreeSet<>();
     for (Address a : all) {
       targets.computeIfAbsent(a.node(), k -> new Target()).address = a;
+      named.add(a.node());
     }
+    targets.forEach((node, t) -> {
+      t.listed = named.contains(node);
+      if (!t.listed) {
+        settle(t);
+      }
+    });
   }
 
   @Override
@@ -315,11 +324,26 @@
     }
   }
 
+  /** What may still run at a node that is no longer listed is seen by nobody: its shard is another node's. It
+   * counts as over after the settle time. Guards against blocks that stay locked because a node never comes
+   * back. Harm: a node listed again within that time is trusted to have been fenced by the negotiation before
+   * its first command. */
+  private void settle(Target t) {
+    engine.after(limits.settleUs(), () -> {
+      if (!t.listed) {
+        t.doubts.values().forEach(d -> d.forEach(engine::resolved));
+        t.doubts.clear();
+      }
+    });
+  }
+
   /** A connection made for its fence: newer writes may be waiting. */
   private void reopen(Target t) {
     long newest = t.doubts.keySet().stream().mapToLong(s -> s).max().orElse(0);
     boolean underWay = t.connections.stream().anyMatch(c -> c.fence.serial() > newest);
-    if (!underWay && !closing && !t.doubts.isEmpty()) {
+    if (!t.listed) {
+      settle(t);
+    } else if (!underWay && !closing && !t.doubts.isEmpty()) {
       open(t);
     }
   }
--- a/src/test/java/hollyslip/e2e/HardCasesTest.java
+++ b/src/test/java/hollyslip/e2e/HardCasesTest.java
@@ -16,6 +16,7 @@
 import hollyslip.load.RingClient;
 import hollyslip.load.RingLoad;
 import hollyslip.node.Nbd;
+import hollyslip.settings.Deployment;
 import hollyslip.standin.Command;
 import hollyslip.standin.DiskServer;
 import hollyslip.standin.Faults;
@@ -112,6 +113,33 @@
     }
   }
 
+  /** A node dies with a write in doubt and another takes over its shard: the blocks of that write are not
+   * locked for ever. */
+  @Test
+  void aNodeThatNeverComesBackKeepsNoBlocksLocked() throws Exception {
+    try (Site site = new Site(dir, 1);
+        DiskServer spare = new DiskServer(DiskServer.Config.plain("spare", Site.SHARD_BYTES, true));
+        RingClient client = new RingClient(RingClient.Options.usual(1, 16, 4096))) {
+      site.deadlineUs = 800_000;
+      Gateway g = site.gateway();
+      client.connect(g.socket("stock"));
+      assertEquals(0, Rings.one(client, IoKind.READ, 0, 4096, new byte[4096]));
+      site.disks.get(0).faults.silent = true;
+      int[] first = {-1};
+      client.submit(0, IoKind.WRITE, 0, 4096, ByteBuffer.wrap(new byte[4096]), (status, retry,
+          d) -> first[0] = status);
+      client.kick();
+      until(() -> site.disks.get(0).commands().stream().anyMatch(c -> c.kind() == Nbd.CMD_WRITE));
+      site.disks.get(0).kill();
+      until(() -> client.await(10) && client.poll() >= 0 && first[0] == 1);
+      Deployment d = site.deployment("gw-0", 0, List.of());
+      g.nodes(new Deployment(d.gateway(), d.classes(), d.rows(), d.plans(), d.rules(), d.allowed(), d.store(),
+          List.of(new Deployment.Node(200, "spare", "127.0.0.1", spare.address().getPort(), "a", 0,
+              NodeState.ON)), d.volumes()));
+      until(() -> Rings.one(client, IoKind.WRITE, 0, 4096, new byte[4096]) == 0);
+    }
+  }
+
   /** Killed with its rings full, a gateway finds what it had taken; each request is answered once, no write
    * runs twice out of order. */
   @Test
