A client that cuts its memory short takes neither its device's end nor a node connection with it

A device now has the JVM tell of pending faults before it closes; copying a read's data into client memory does the same, where before a node connection stood still for all its users. A stand-in keeps its port bound while it is down.

--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -1,6 +1,7 @@
 package hollyslip.front.vhost;
 
 import hollyslip.engine.Answer;
+import hollyslip.engine.ClientMemory;
 import hollyslip.engine.Engine;
 import hollyslip.engine.Io;
 import hollyslip.engine.Spin;
@@ -156,28 +157,37 @@
   @Override
   public void run() {
     engine.onRoom(roomListener);
-    String why = "the gateway ends";
+    String why = "memory region: cut short while in use";
+    try {
+      why = serve();
+    } catch (InternalError e) {
+      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
+          "field", why).log("device.stopped");
+    }
+    ClientMemory.settled();
+    close(why);
+  }
+
+  /** Serves until the end, and says why it came. A fault in shared memory (the client cut its file short
+   * after the check at mapping) leaves this as an {@code InternalError}. The JVM tells of it some time after
+   * the touch, which then has read anything: so what was read may break a rule first, and the error come
+   * while that is being caught. */
+  private String serve() {
     try {
       while (!over) {
         turn();
       }
+      return "the gateway ends";
     } catch (Violation e) {
-      why = e.getMessage();
       LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
-          "field", why).log("device.stopped");
+          "field", e.getMessage()).log("device.stopped");
+      return e.getMessage();
     } catch (Closed e) {
-      why = "the client left";
+      return "the client left";
     } catch (IOException | RuntimeException e) {
-      why = e.toString();
-      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
-          "why", why).log("device.stopped");
-    } catch (InternalError e) {
-      // A fault in shared memory: the client cut its file short after the check at mapping.
-      why = "memory region: cut short while in use";
       LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
-          "field", why).log("device.stopped");
-    } finally {
-      close(why);
+          "why", e.toString()).log("device.stopped");
+      return e.toString();
     }
   }
 
--- a/src/main/java/hollyslip/node/NbdConnection.java
+++ b/src/main/java/hollyslip/node/NbdConnection.java
@@ -2,6 +2,7 @@
 
 import hollyslip.HostScheduler.Result;
 import hollyslip.engine.Attempt;
+import hollyslip.engine.ClientMemory;
 import hollyslip.engine.NodePort.Withdrawn;
 import hollyslip.volume.IoKind;
 import java.io.IOException;
@@ -436,7 +437,10 @@
     for (ByteBuffer b : s.data) {
       if (left > 0 && skip < b.limit()) {
         int n = (int) Math.min(left, b.limit() - skip);
-        b.put((int) skip, from, from.position(), n);
+        // A client that cut its memory short loses its own answer's data, and must not take the connection,
+        // which
+        // others use, with it.
+        ClientMemory.copy(b, (int) skip, from, from.position(), n);
         from.position(from.position() + n);
         left -= n;
         skip = 0;
--- a/src/main/java/hollyslip/standin/DiskServer.java
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -75,6 +75,9 @@
   private final PriorityQueue<Job> jobs = new PriorityQueue<>();
   private final SplittableRandom random;
   private final int port;
+  /** Bound and never used: while the server is down no other socket is given its port, not even the far end
+   * of a connection that a gateway tries to it. */
+  private final Socket keeper;
   private ServerSocket listener;
   private ServiceModel model;
   private volatile boolean up;
@@ -127,8 +130,11 @@
     this.config = config;
     this.random = new SplittableRandom(config.seed());
     bornUs = now() - config.ageUs();
-    listener = listen(wanted);
-    port = listener.getLocalPort();
+    keeper = new Socket();
+    keeper.setReuseAddress(true);
+    keeper.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wanted));
+    port = keeper.getLocalPort();
+    listener = listen(port);
     start();
   }
 
@@ -229,6 +235,11 @@
     if (up) {
       kill();
     }
+    try {
+      keeper.close();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
   }
 
   private Memory memory(String export) {
--- a/src/test/java/hollyslip/e2e/HostileClientTest.java
+++ b/src/test/java/hollyslip/e2e/HostileClientTest.java
@@ -171,6 +171,43 @@
     }
   }
 
+  /** The JVM tells of a touch of memory that is gone only later, often while what was read from it is being
+   * turned down: not once may that leave a device half closed. */
+  @Test
+  void memoryCutShortNeverLeavesADeviceHalfClosed() throws IOException {
+    for (int i = 0; i < 60; i++) {
+      int jump = i;
+      gone("cut short, round " + i, (c, q) -> {
+        q.avail.putShort(2, (short) (jump % 3));
+        Linux.truncate(c.memoryFd(), 0);
+        Linux.signal(kickOf(c));
+      });
+    }
+  }
+
+  /** The data of a read comes for memory that its client has cut short meanwhile: the node's connection,
+   * which others use too, goes on. */
+  @Test
+  void answersForMemoryThatIsGoneHarmNobodyElse() throws IOException {
+    for (int round = 0; round < 10; round++) {
+      long before = gateway.engine().totals().attempts();
+      try (RingClient c = direct()) {
+        c.connect(gateway.socket("stock"));
+        site.disks.get(0).stall(50_000);
+        for (int i = 0; i < 4; i++) {
+          assertTrue(c.submit(0, IoKind.READ, i * 4096L, 4096, null, (s, r, d) -> {}));
+        }
+        c.kick();
+        until(() -> gateway.engine().totals().attempts() == before + 4);
+        Linux.truncate(c.memoryFd(), 0);
+        byte[] bytes = new byte[4096];
+        for (int i = 0; i < 4; i++) {
+          assertEquals(0, Rings.one(honest, IoKind.READ, 0, 4096, bytes), "round " + round);
+        }
+      }
+    }
+  }
+
   private static int kickOf(RingClient c) {
     return c.kickFd(0);
   }
