--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -4,12 +4,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -103,6 +105,9 @@
   private final Map<Long, Limit> limits = new HashMap<>();
   private final Map<Long, Limit> reserves = new HashMap<>();
   private final Map<Long, KeyLine> lines = new HashMap<>();
+  /** Volumes that stand on plans of their own, and those that go with their last request. */
+  private final Map<Long, VolumeChanged> terms = new HashMap<>();
+  private final Set<Long> leaving = new HashSet<>();
   private final TreeMap<Long, Pending> unplaced = new TreeMap<>();
   private final PriorityQueue<Pending> byDeadline = new PriorityQueue<>(Comparator.<Pending>comparingLong(
       p -> p.deadline).thenComparingLong(p -> p.seq));
@@ -110,7 +115,8 @@
   private final Budget budget;
   private final double shortestAim;
   private Consumer<Action> out;
-  private final double mostValue;
+  private double mostValue;
+  private final double mostWorth;
   private double usual = LATENCY_GUESS;
   /** Part of silences, of any node, that only lost an answer: the next one from there came soon. */
   private double lost;
@@ -125,8 +131,8 @@
     settings.plans().forEach(p -> plans.put(p.name(), p));
     random = new SplittableRandom(settings.seed());
     budget = new Budget(settings.rules());
-    mostValue = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElseThrow() * settings
-        .plans().stream().mapToDouble(Plan::price).max().orElseThrow();
+    mostWorth = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElseThrow();
+    mostValue = mostWorth * settings.plans().stream().mapToDouble(Plan::price).max().orElseThrow();
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
   }
 
@@ -188,8 +194,8 @@
    * restarted host has forgotten what it spent, and so can never be above the part it would have had without
    * the restart. The first seconds after a launch are the price. */
   static final class Limit {
-    private final double depth;
-    private final double rate;
+    private double depth;
+    private double rate;
     private double level;
     private long at;
 
@@ -200,6 +206,15 @@
       rate = perSecond / 1e6;
     }
 
+    /** Another rate and depth from now on. What was earned by the old rate stays as far as it fits the new
+     * depth, and nothing is added: no change refills a bucket, and a lowered one holds at once. */
+    void change(double perSecond, double newDepth, long now) {
+      level = Math.min(newDepth, Math.min(depth, level + rate * (now - at)));
+      at = now;
+      depth = newDepth;
+      rate = perSecond / 1e6;
+    }
+
     boolean allows(double units, long now) {
       level = Math.min(depth, level + rate * (now - at));
       at = now;
@@ -215,15 +230,15 @@
   static final class Pending {
     final Request request;
     final RequestClass rules;
-    final Plan plan;
     final long seq;
     final long cameAt;
     final long deadline;
     final long aimAt;
     /** Even over 0 to 1, from the instance's seed. */
     final double chance;
-    final Limit limit;
     final Limit reserve;
+    Plan plan;
+    Limit limit;
     KeyLine line;
     Node node;
     int attempts, out;
@@ -275,8 +290,9 @@
   /** A volume at a node: what it holds there, its bucket, its demand and its record of lending. */
   static final class Volume {
     final long key;
-    final double weight;
     final double depth;
+    double weight, groupWeight;
+    long group;
     final TreeMap<Long, Pending> held = new TreeMap<>();
     long filledAt, lastAsked;
     boolean known;
@@ -285,12 +301,23 @@
 
     Volume(long key, double weight, double depth, long now) {
       this.key = key;
-      this.weight = weight;
       this.depth = depth;
+      share(weight, 0, weight);
       tokens = depth;
       filledAt = now;
     }
 
+    final void share(double own, long of, double ofGroup) {
+      weight = own;
+      group = of;
+      groupWeight = of == 0 ? own : ofGroup;
+    }
+
+    /** Part of the tokens that the weights name, against volumes of other groups. */
+    double nominal() {
+      return group == 0 ? weight : weight * groupWeight;
+    }
+
     void fill(long now) {
       tokens = Math.min(depth, tokens + rate * (now - filledAt));
       filledAt = now;
@@ -460,8 +487,32 @@
     }
 
     Volume volume(Pending p) {
-      return volumes.computeIfAbsent(p.request.volume(), k -> new Volume(k, p.plan.weight(), BUCKET_DEPTH
-          * settings.store().meanUnits(), now));
+      return volumes.computeIfAbsent(p.request.volume(), k -> {
+        Volume v = new Volume(k, p.plan.weight(), BUCKET_DEPTH * settings.store().meanUnits(), now);
+        VolumeChanged t = terms.get(k);
+        if (t != null) {
+          v.share(t.plan().weight(), t.group(), t.groupWeight());
+        }
+        return v;
+      });
+    }
+
+    /** Brings a volume's record (equation 8) to another value. Records are claims on each other, so those of
+     * the other sign bear the difference in proportion, as far as they reach: what one is forgiven its
+     * creditors lose, what one gives up its debtors are forgiven. Harm: who had lent loses the claim. */
+    void settle(Volume v, double record) {
+      double difference = record - v.record;
+      boolean creditors = v.record < 0;
+      double sum = 0;
+      for (Volume o : volumes.values()) {
+        sum += o != v && o.record < 0 != creditors ? Math.abs(o.record) : 0;
+      }
+      double part = sum > 0 ? Math.max(-1, -Math.abs(difference) / sum) : 0;
+      part = Math.abs(record) > Math.abs(v.record) ? -part : part;
+      for (Volume o : volumes.values()) {
+        o.record += o != v && o.record < 0 != creditors ? o.record * part : 0;
+      }
+      v.record = record;
     }
 
     void hold(Pending p) {
@@ -501,14 +552,18 @@
     }
   }
 
-  /** Equations 1 and 2: the period's tokens by weight. Demand is what was asked in the period. */
+  /** Equations 1 and 2: the period's tokens by weight, first over groups, then within each over those of its
+   * volumes that ask: what a quiet one leaves goes to its group. Demand is what was asked in the period. */
   static void initialAllocation(List<Volume> active, double tokens) {
     double sum = 0;
+    Map<Long, Double> within = new HashMap<>();
     for (Volume v : active) {
-      sum += v.weight;
+      sum += v.group == 0 || !within.containsKey(v.group) ? v.groupWeight : 0;
+      within.merge(v.group, v.weight, Double::sum);
     }
     for (Volume v : active) {
-      v.p = sum > 0 ? v.weight / sum : 1.0 / active.size();
+      double part = v.group == 0 ? 1 : v.weight / within.get(v.group);
+      v.p = sum > 0 ? v.groupWeight * part / sum : 1.0 / active.size();
       v.alpha = tokens * v.p;
       v.d = v.asked;
     }
@@ -597,12 +652,82 @@
       if (p != null) {
         p.streaming = true;
       }
+    } else if (event instanceof VolumeChanged changed) {
+      change(changed);
+    } else if (event instanceof VolumeRemoved gone) {
+      leaving.add(gone.volume());
+      purge(gone.volume());
     } else if (event instanceof TimerDue && now >= timerAt) {
       timerAt = Long.MAX_VALUE;
     }
     turn();
   }
 
+  /** Other terms for a volume; requests that it holds stand on them too. A limit that is new to it starts
+   * empty. Records are rescaled with the weight: a volume owes, and is owed, the same number of periods of
+   * its part (section III, equation 8) as before, not the same tokens, which a smaller part might never
+   * pay. */
+  private void change(VolumeChanged c) {
+    VolumeChanged old = terms.put(c.volume(), c);
+    leaving.remove(c.volume());
+    Plan plan = c.plan();
+    mostValue = Math.max(mostValue, mostWorth * plan.price());
+    Limit limit = limits.get(c.volume());
+    if (plan.limit() <= 0) {
+      limits.remove(c.volume());
+    } else if (limit != null) {
+      limit.change(plan.limit() / c.hosts(), plan.limitBurst() / c.hosts(), now);
+    } else if (old != null || reserves.containsKey(c.volume())) {
+      limits.put(c.volume(), limit(plan, c.hosts(), now));
+    }
+    Limit reserve = reserves.get(c.volume());
+    if (reserve != null) {
+      reserve.change(plan.reserve() / c.hosts(), reserveDepth(plan, c.hosts()), now);
+    }
+    for (Pending p : pendings.values()) {
+      if (p.request.volume() == c.volume()) {
+        p.plan = plan;
+        p.limit = limits.get(c.volume());
+      }
+    }
+    for (Node n : nodes.values()) {
+      Volume v = n.volumes.get(c.volume());
+      if (v != null) {
+        double before = v.nominal();
+        v.share(plan.weight(), c.group(), c.groupWeight());
+        n.settle(v, before > 0 ? v.record * v.nominal() / before : v.record);
+      }
+    }
+  }
+
+  /** Drops what is known of a volume that was removed, once nothing of it is left; its loans are settled. */
+  private void purge(long volume) {
+    for (Pending p : pendings.values()) {
+      if (p.request.volume() == volume) {
+        return;
+      }
+    }
+    leaving.remove(volume);
+    terms.remove(volume);
+    limits.remove(volume);
+    reserves.remove(volume);
+    for (Node n : nodes.values()) {
+      Volume v = n.volumes.get(volume);
+      if (v != null) {
+        n.settle(v, 0);
+        n.volumes.remove(volume);
+      }
+    }
+  }
+
+  private static Limit limit(Plan plan, int hosts, long from) {
+    return new Limit(plan.limit() / hosts, plan.limitBurst() / hosts, 0, from);
+  }
+
+  private double reserveDepth(Plan plan, int hosts) {
+    return plan.reserve() / hosts + settings.store().mostUnits();
+  }
+
   private void launch() {
     launchedAt = now;
     periodEnd = now + PERIOD;
@@ -683,18 +808,18 @@
   private void take(Request r) {
     budget.took(now);
     ClassFacts facts = classes.get(r.className());
-    Plan plan = plans.get(r.plan());
+    VolumeChanged own = terms.get(r.volume());
+    Plan plan = own != null ? own.plan() : plans.get(r.plan());
     if (facts == null || plan == null || r.remainingUs() <= 0) {
       out.accept(new Refuse(r.id(), 0));
       return;
     }
-    int hosts = r.hosts() > 0 ? r.hosts() : settings.hosts();
+    int hosts = own != null ? own.hosts() : r.hosts() > 0 ? r.hosts() : settings.hosts();
     Limit limit = null;
     if (plan.limit() > 0) {
-      limit = limits.computeIfAbsent(r.volume(), k -> new Limit(plan.limit() / hosts, plan.limitBurst()
-          / hosts, 0, launchedAt));
+      limit = limits.computeIfAbsent(r.volume(), k -> limit(plan, hosts, launchedAt));
     }
-    double depth = plan.reserve() / hosts + settings.store().mostUnits();
+    double depth = reserveDepth(plan, hosts);
     Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
         now));
     Pending p = new Pending(r, facts, plan, seq++, now, random.nextDouble(), limit, reserve);
@@ -789,8 +914,8 @@
     if (dueA <= now != dueB <= now) {
       return dueA <= now;
     }
-    if (dueA > now && a.weight != b.weight) {
-      return a.weight > b.weight;
+    if (dueA > now && a.groupWeight != b.groupWeight) {
+      return a.groupWeight > b.groupWeight;
     }
     return dueA != dueB ? dueA < dueB : p.seq < q.seq;
   }
@@ -940,6 +1065,9 @@
       return;
     }
     pendings.remove(p.request.id());
+    if (leaving.contains(p.request.volume())) {
+      purge(p.request.volume());
+    }
     if (p.line != null) {
       p.line.queue.remove(p);
       if (p.line.queue.isEmpty() && p.line.quietUntil <= now) {
--- a/src/main/java/hollyslip/HostScheduler.java
+++ b/src/main/java/hollyslip/HostScheduler.java
@@ -170,8 +170,8 @@
   }
 
   /** Something that happened. */
-  sealed interface Event permits NodeList, ListFailed, Request, TimerDue, Outcome, Departed, Probed,
-      Started {}
+  sealed interface Event permits NodeList, ListFailed, Request, TimerDue, Outcome, Departed, Probed, Started,
+      VolumeChanged, VolumeRemoved {}
 
   /** News of the node list; {@code whole}: nodes not named are gone. */
   record NodeList(boolean whole, List<Listed> nodes) implements Event {
@@ -218,6 +218,20 @@
   /** The answer of an attempt started to stream; neither time-out nor deadline runs on. */
   record Started(long request, int attempt, long node) implements Event {}
 
+  /** A volume stands on a plan of its own from now on, whatever its requests name; {@code hosts}: through how
+   * many its requests come. Volumes of one {@code group} share by their plans' weights what the group gets by
+   * {@code groupWeight}; group 0: a group of its own, which counts with the plan's weight. */
+  record VolumeChanged(long volume, int hosts, Plan plan, long group, double groupWeight) implements Event {
+    public VolumeChanged {
+      atLeast(hosts, 1, "volumeChanged.hosts");
+      present(plan, "volumeChanged.plan");
+      atLeast(groupWeight, 0, "volumeChanged.groupWeight");
+    }
+  }
+
+  /** A volume takes no more requests; what is known of it may go when its last one has ended. */
+  record VolumeRemoved(long volume) implements Event {}
+
   /** Something to be done. */
   sealed interface Action permits Send, Refuse, Fail, Cancel, Probe, SetTimer, Watch {}
 
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -4,18 +4,22 @@
 import hollyslip.HostScheduler.Action;
 import hollyslip.HostScheduler.Event;
 import hollyslip.HostScheduler.NodeList;
+import hollyslip.HostScheduler.NodeState;
 import hollyslip.HostScheduler.RequestClass;
 import hollyslip.HostScheduler.Result;
+import hollyslip.door.Door;
 import hollyslip.volume.Classifier;
 import hollyslip.volume.IoKind;
 import hollyslip.volume.Splitter;
 import hollyslip.volume.Volume;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.LongAdder;
 import org.slf4j.Logger;
@@ -25,16 +29,21 @@
  * of the module and runs it on one thread that never blocks.
  *
  * <p>
- * The way of one request, top to bottom: a front calls {@link #offer}; {@link #take} cuts it into pieces; a
- * change of blocks waits for its range ({@link RangeLocks}); {@link #submit} tells the module;
- * {@link #carryOut} sends where the module says; {@link #ended} takes what came of an attempt back to the
- * module; {@link #answerPiece} collects the answers of the pieces and gives the client its one. */
+ * The way of one request, top to bottom: a front calls {@link #offer}; {@link #take} has it wait at the
+ * {@link Door}, fairly among tenants; {@link #letIn} cuts it into pieces; a change of blocks waits for its
+ * range ({@link RangeLocks}); {@link #submit} tells the module; {@link #carryOut} sends where the module
+ * says; {@link #ended} takes what came of an attempt back to the module; {@link #answerPiece} collects the
+ * answers of the pieces and gives the client its one. */
 public final class Engine {
   private static final Logger LOG = LoggerFactory.getLogger(Engine.class);
 
   /** Letters read before timers and sends get their turn, so that none starves. */
   private static final int BATCH = 256;
 
+  /** Requests let in for each node that serves: what one host may have out at it, and as many to choose
+   * from. */
+  private static final int ROOM_A_NODE = 64;
+
   /** Longest sleep, us: only a bound, timers and letters wake it. */
   private static final long NAP = 1_000_000;
 
@@ -73,17 +82,46 @@
   private final LongAdder failed = new LongAdder(), departed = new LongAdder(), attempts = new LongAdder();
   private final LongAdder moduleNs = new LongAdder();
   private final Sampler refusals = new Sampler(), failures = new Sampler();
-  private volatile Map<String, Volume> volumes;
+  private final Map<String, Volume> volumes = new ConcurrentHashMap<>();
+  private final Map<Long, Served> shares = new ConcurrentHashMap<>();
+  private final Map<String, HostScheduler.Plan> plans = new HashMap<>();
+  private final Map<Long, NodeState> states = new HashMap<>();
+  private final Door<Operation> door;
+  /** How long a request counts as inside at most, us: one that waits longer for a limit or a node that is
+   * away does not keep others at the door. Harm: the module holds more at a time then. */
+  private final long insideUs;
   private volatile boolean stopping;
   private volatile boolean awaitingRoom;
   private NodePort port;
   private long now;
   private long nextPiece;
+  private boolean lettingIn;
+  /** Requests let in, in that order, for at most {@link #insideUs}. */
+  private final ArrayDeque<Operation> inside = new ArrayDeque<>();
+
+  /** What the engine keeps of a volume by its id. */
+  private static final class Served {
+    final Door.Owner owner;
+    final CompletableFuture<Void> drained = new CompletableFuture<>();
+    volatile boolean draining;
+    /** Requests of it that are taken and not released; engine's thread. */
+    int held;
+
+    Served(Door.Owner owner) {
+      this.owner = owner;
+    }
+  }
 
   public Engine(Config config, Map<String, Volume> volumes, HostScheduler module) {
     this.config = config;
-    this.volumes = Map.copyOf(volumes);
     this.module = module;
+    config.settings().plans().forEach(p -> plans.put(p.name(), p));
+    volumes.values().forEach(v -> {
+      this.volumes.put(v.name(), v);
+      shares.put(v.id(), new Served(owner(v)));
+    });
+    insideUs = config.settings().classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
+    door = new Door<>((int) Math.min(Integer.MAX_VALUE, config.mostRequests() / 2), ROOM_A_NODE);
     bounds = new Bounds(config.mostRequests(), config.mostBytes());
     config.settings().classes().forEach(c -> classes.put(c.name(), c));
   }
@@ -144,7 +182,15 @@
 
   /** News of the node list. From any thread. */
   public void nodes(NodeList list) {
-    mailbox.put(() -> tell(list));
+    mailbox.put(() -> {
+      tell(list);
+      if (list.whole()) {
+        states.clear();
+      }
+      list.nodes().forEach(n -> states.put(n.node(), n.state()));
+      door.room(ROOM_A_NODE * (int) states.values().stream().filter(s -> s == NodeState.ON).count());
+      letIn();
+    });
   }
 
   /** A call for the node list failed. From any thread. */
@@ -178,9 +224,54 @@
     timers.set(clock() + us, task);
   }
 
-  /** Volumes to serve from now on; requests in flight keep the volume that they came with. */
-  public void volumes(Map<String, Volume> next) {
-    volumes = Map.copyOf(next);
+  /** A volume of the settings shares as its plan's weight says. */
+  private Door.Owner owner(Volume v) {
+    HostScheduler.Plan plan = plans.get(v.plan());
+    double weight = plan == null || plan.weight() <= 0 ? 1 : plan.weight();
+    return new Door.Owner(v.tenant(), weight, v.id(), weight);
+  }
+
+  /** Serves a volume from now on, or on other terms; complete when the module has been told. Requests in
+   * flight keep the size that they came with. From any thread. */
+  public CompletableFuture<Void> serve(Volume volume, HostScheduler.VolumeChanged terms) {
+    CompletableFuture<Void> told = new CompletableFuture<>();
+    mailbox.put(() -> {
+      Served old = shares.get(volume.id());
+      Served next = new Served(new Door.Owner(volume.tenant(), terms.groupWeight(), volume.id(), terms.plan()
+          .weight()));
+      next.held = old == null ? 0 : old.held;
+      shares.put(volume.id(), next);
+      tell(terms);
+      volumes.put(volume.name(), volume);
+      told.complete(null);
+    });
+    return told;
+  }
+
+  /** Takes no more requests of a volume, which are refused from now on; complete when all that it had are
+   * answered and nothing of them is out. From any thread; a volume that is not served is drained. */
+  public CompletableFuture<Void> drain(Volume volume) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    mailbox.put(() -> {
+      Served s = shares.get(volume.id());
+      if (s == null) {
+        done.complete(null);
+        return;
+      }
+      s.draining = true;
+      s.drained.thenRun(() -> done.complete(null));
+      gone(volume, s);
+    });
+    return done;
+  }
+
+  /** Forgets a draining volume once nothing of it is held. */
+  private void gone(Volume volume, Served s) {
+    if (s.draining && s.held == 0 && shares.remove(volume.id(), s)) {
+      volumes.remove(volume.name());
+      tell(new HostScheduler.VolumeRemoved(volume.id()));
+      s.drained.complete(null);
+    }
   }
 
   /** The volumes served now, by name. */
@@ -188,6 +279,11 @@
     return volumes;
   }
 
+  /** Requests at the door. Engine's thread. */
+  public int atDoor() {
+    return door.waiting();
+  }
+
   /** Takes nothing more, answers all it holds, then ends. From any thread; calls again change nothing. */
   public CompletableFuture<Void> stop() {
     mailbox.put(() -> stopping = true);
@@ -230,13 +326,21 @@
     }
     now = Math.max(now, clock());
     timers.run(now);
+    for (Operation op = inside.peek(); op != null && (op.released || op.letInAt
+        + insideUs <= now); op = inside.peek()) {
+      inside.poll();
+      leaveRoom(op);
+    }
     port.flush();
     if (awaitingRoom && bounds.roomy()) {
       awaitingRoom = false;
       turnedAway.forEach(Runnable::run);
     }
     if (read < BATCH) {
-      mailbox.await(Math.min(NAP, Math.max(0, timers.next() - clock())));
+      long next = inside.isEmpty() || door.waiting() == 0
+          ? timers.next()
+          : Math.min(timers.next(), inside.peek().letInAt + insideUs);
+      mailbox.await(Math.min(NAP, Math.max(0, next - clock())));
     }
   }
 
@@ -254,6 +358,56 @@
     boolean repeatable = rules.effect() == HostScheduler.Effect.SAFE;
     Operation op = new Operation(io, volume, className, repeatable, at, deadline);
     operations.put(io, op);
+    Served served = shares.get(volume.id());
+    if (served == null || served.draining) {
+      turnAway(op, 0);
+      return;
+    }
+    served.held++;
+    op.counted = true;
+    op.place = door.enter(now, op, served.owner, config.classifier().units(io.kind(), io.length()));
+    for (Door.Turned<Operation> t = door.over(now); t != null; t = door.over(now)) {
+      turnAway(t.item(), t.retryInUs());
+    }
+    letIn();
+    if (op.place.waiting()) {
+      timers.set(deadline - config.settings().tickUs(), () -> {
+        if (op.place.waiting()) {
+          door.leave(op.place);
+          turnAway(op, 0);
+        }
+      });
+    }
+  }
+
+  /** Refuses a request that has not been let in: nothing of it ran. */
+  private void turnAway(Operation op, long retryInUs) {
+    op.answered = true;
+    refused.increment();
+    sample(refusals, "request.refused", op);
+    op.io.client().answered(Answer.refused(retryInUs));
+    free(op);
+  }
+
+  private void letIn() {
+    for (Door.Place<Operation> p = door.next(now); p != null; p = door.next(now)) {
+      Operation op = p.item();
+      op.letInAt = now;
+      inside.add(op);
+      begin(op);
+    }
+  }
+
+  private void leaveRoom(Operation op) {
+    door.left(op.place);
+    if (!lettingIn) {
+      lettingIn = true;
+      letIn();
+      lettingIn = false;
+    }
+  }
+
+  private void begin(Operation op) {
     op.pieces = cut(op);
     for (Piece piece : op.pieces) {
       if (!piece.kind.changes() || locks.lock(piece)) {
@@ -439,8 +593,8 @@
     long facts = sampler.admit(now);
     if (facts > 0) {
       LOG.atInfo().addKeyValue("volume", op.volume.name()).addKeyValue("tenant", op.volume.tenant())
-          .addKeyValue("request", op.pieces.get(0).id).addKeyValue("kind", op.io.kind()).addKeyValue("facts",
-              facts).log(event);
+          .addKeyValue("request", op.pieces.isEmpty() ? -1 : op.pieces.get(0).id).addKeyValue("kind", op.io
+              .kind()).addKeyValue("facts", facts).log(event);
     }
   }
 
@@ -458,6 +612,7 @@
     }
     op.answered = true;
     departed.increment();
+    door.leave(op.place);
     for (Piece piece : op.pieces) {
       if (piece.answered) {
         continue;
@@ -489,6 +644,12 @@
       operations.remove(op.io);
       op.io.client().released();
       bounds.give(held(op.io));
+      if (op.counted) {
+        Served s = shares.get(op.volume.id());
+        s.held--;
+        gone(op.volume, s);
+        leaveRoom(op);
+      }
     }
   }
 }
--- a/src/main/java/hollyslip/engine/Operation.java
+++ b/src/main/java/hollyslip/engine/Operation.java
@@ -1,5 +1,6 @@
 package hollyslip.engine;
 
+import hollyslip.door.Door;
 import hollyslip.volume.Volume;
 import java.util.List;
 
@@ -12,6 +13,10 @@
   final long deadline;
   final Verdict verdict;
   List<Piece> pieces = List.of();
+  /** At the door, then inside. */
+  Door.Place<Operation> place;
+  boolean counted;
+  long letInAt;
   boolean answered;
   boolean released;
   /** Attempts whose outcome is not told yet: they may touch the data. */
--- a/src/main/java/hollyslip/front/sftp/Session.java
+++ b/src/main/java/hollyslip/front/sftp/Session.java
@@ -161,7 +161,9 @@
   }
 
   private Volume volume(String path) {
-    return engine.volumes().get(real(path).substring(1));
+    String name = real(path).substring(1);
+    // Hosted volumes, whose names have a slash, belong to tenants, and this front does not know its callers.
+    return name.indexOf('/') < 0 ? engine.volumes().get(name) : null;
   }
 
   private void names(int id, List<String> names) {
@@ -239,7 +241,7 @@
       status(id, EOF, "");
     } else {
       h.listed = true;
-      names(id, engine.volumes().keySet().stream().sorted().toList());
+      names(id, engine.volumes().keySet().stream().filter(n -> n.indexOf('/') < 0).sorted().toList());
     }
   }
 
--- /dev/null
+++ b/src/main/java/hollyslip/tenant/Registry.java
@@ -0,0 +1,315 @@
+package hollyslip.tenant;
+
+import hollyslip.HostScheduler;
+import hollyslip.tenant.Change.KeyPut;
+import hollyslip.tenant.Change.NodePut;
+import hollyslip.tenant.Change.Task;
+import hollyslip.tenant.Change.Token;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/** All that is recorded: plans, tenants, volumes, nodes' states, tasks, tokens, keys, and the end of the
+ * audit trail. It changes by {@link #apply} alone, which decides nothing: equal records give equal
+ * registries. Not safe for several threads. */
+public final class Registry {
+  /** Lines of the audit trail held here; the store's log has what it still keeps of the others. */
+  static final int MOST_TRAIL = 10_000;
+
+  /** Keys and ended tasks held: the oldest go first. */
+  static final int MOST_KEYS = 10_000, MOST_TASKS = 1_000;
+
+  /** All of a registry, for a snapshot. */
+  public record Image(int v, long nextId, List<Plan> plans, List<Tenant> tenants, List<HostedVolume> volumes,
+      List<NodePut> nodes, List<Task> tasks, List<Token> tokens, List<KeyPut> keys, List<Trail> trail) {}
+
+  private final TreeMap<String, Plan> plans = new TreeMap<>();
+  private final TreeMap<Long, Tenant> tenants = new TreeMap<>();
+  private final TreeMap<String, Long> tenantNames = new TreeMap<>();
+  private final Map<Long, HostedVolume> volumes = new HashMap<>();
+  private final Map<Long, TreeMap<String, Long>> volumeNames = new HashMap<>();
+  private final Map<String, Integer> planUsers = new HashMap<>();
+  private final Map<Long, Double> promised = new HashMap<>();
+  private final Map<Long, Long> bytes = new HashMap<>();
+  private final TreeMap<String, NodePut> nodes = new TreeMap<>();
+  private final TreeMap<Long, Task> tasks = new TreeMap<>();
+  private final Map<String, Token> tokens = new LinkedHashMap<>();
+  private final Map<String, KeyPut> keys = new LinkedHashMap<>();
+  private final ArrayDeque<Trail> trail = new ArrayDeque<>();
+  private final Ledger ledger;
+  private double quotaSum;
+  private long nextId;
+
+  /** An empty one. {@code firstId}: ids from here on are given to tenants, volumes and tasks. */
+  public Registry(Collection<Shard> shards, long firstId) {
+    ledger = new Ledger(shards);
+    nextId = firstId;
+  }
+
+  /** One from a snapshot. */
+  public Registry(Collection<Shard> shards, Image image) {
+    this(shards, image.nextId());
+    image.plans().forEach(p -> plans.put(p.name(), p));
+    image.tenants().forEach(this::put);
+    image.volumes().forEach(this::put);
+    image.nodes().forEach(n -> nodes.put(n.node(), n));
+    image.tasks().forEach(t -> tasks.put(t.id(), t));
+    image.tokens().forEach(t -> tokens.put(t.id(), t));
+    image.keys().forEach(k -> keys.put(k.key(), k));
+    trail.addAll(image.trail());
+  }
+
+  /** All of it, as of now; what it names is immutable. */
+  public Image image() {
+    return new Image(Entry.VERSION, nextId, List.copyOf(plans.values()), List.copyOf(tenants.values()), List
+        .copyOf(volumes.values()), List.copyOf(nodes.values()), List.copyOf(tasks.values()), List.copyOf(
+            tokens.values()), List.copyOf(keys.values()), List.copyOf(trail));
+  }
+
+  // What is there.
+
+  public Plan plan(String name) {
+    return plans.get(name);
+  }
+
+  public NavigableMap<String, Plan> plans() {
+    return plans;
+  }
+
+  public Tenant tenant(long id) {
+    return tenants.get(id);
+  }
+
+  public Tenant tenant(String name) {
+    Long id = tenantNames.get(name);
+    return id == null ? null : tenants.get(id);
+  }
+
+  /** Ids of tenants by name. */
+  public NavigableMap<String, Long> tenantNames() {
+    return tenantNames;
+  }
+
+  public HostedVolume volume(long id) {
+    return volumes.get(id);
+  }
+
+  public HostedVolume volume(long tenant, String name) {
+    Long id = volumeNames(tenant).get(name);
+    return id == null ? null : volumes.get(id);
+  }
+
+  /** Ids of a tenant's volumes by name. */
+  public NavigableMap<String, Long> volumeNames(long tenant) {
+    return volumeNames.getOrDefault(tenant, new TreeMap<>());
+  }
+
+  public Collection<HostedVolume> volumes() {
+    return volumes.values();
+  }
+
+  public NodePut node(String name) {
+    return nodes.get(name);
+  }
+
+  public Collection<NodePut> nodes() {
+    return nodes.values();
+  }
+
+  public Task task(long id) {
+    return tasks.get(id);
+  }
+
+  public NavigableMap<Long, Task> tasks() {
+    return tasks;
+  }
+
+  public Collection<Token> tokens() {
+    return tokens.values();
+  }
+
+  public Token token(String id) {
+    return tokens.get(id);
+  }
+
+  public KeyPut key(String key) {
+    return keys.get(key);
+  }
+
+  public Collection<Trail> trail() {
+    return trail;
+  }
+
+  /** Terms of a volume: its plan's, with its own over them. */
+  public Terms terms(HostedVolume v) {
+    return v.own().over(plans.get(v.plan()).terms());
+  }
+
+  /** What the module is told of a volume. Its tenant is the group it shares with. */
+  public HostScheduler.VolumeChanged told(HostedVolume v, int hosts) {
+    return new HostScheduler.VolumeChanged(v.id(), hosts, terms(v).plan(v.plan()), v.tenant(), tenants.get(v
+        .tenant()).weight());
+  }
+
+  /** Units a second promised to a tenant's volumes together. */
+  public double promised(long tenant) {
+    return promised.getOrDefault(tenant, 0.0);
+  }
+
+  /** Bytes of a tenant's volumes together. */
+  public long bytes(long tenant) {
+    return bytes.getOrDefault(tenant, 0L);
+  }
+
+  /** Volumes on a plan. */
+  int users(String plan) {
+    return planUsers.getOrDefault(plan, 0);
+  }
+
+  /** Sum of the tenants' quotas of reserve. */
+  double quotaSum() {
+    return quotaSum;
+  }
+
+  Ledger ledger() {
+    return ledger;
+  }
+
+  long nextId() {
+    return nextId;
+  }
+
+  // How it changes.
+
+  /** Takes on a recorded decision. */
+  public void apply(long sequence, Entry entry) {
+    for (Change c : entry.changes()) {
+      Object before = null;
+      Object after = null;
+      long tenant = 0;
+      if (c instanceof Change.PlanPut p) {
+        before = plans.get(p.plan().name());
+        after = p.plan();
+        put(p.plan());
+      } else if (c instanceof Change.PlanGone p) {
+        before = plans.remove(p.name());
+      } else if (c instanceof Change.TenantPut t) {
+        before = tenants.get(t.tenant().id());
+        after = t.tenant();
+        tenant = t.tenant().id();
+        put(t.tenant());
+      } else if (c instanceof Change.TenantGone t) {
+        before = tenants.get(t.id());
+        tenant = t.id();
+        dropTenant(t.id());
+      } else if (c instanceof Change.VolumePut v) {
+        before = volumes.get(v.volume().id());
+        after = v.volume();
+        tenant = v.volume().tenant();
+        put(v.volume());
+      } else if (c instanceof Change.VolumeGone v) {
+        HostedVolume gone = volumes.get(v.id());
+        before = gone;
+        tenant = gone.tenant();
+        dropVolume(gone);
+      } else if (c instanceof NodePut n) {
+        before = nodes.put(n.node(), n);
+        after = n;
+      } else {
+        applyQuiet(c);
+        continue;
+      }
+      note(new Trail(sequence, entry.at(), entry.who(), entry.what(), entry.target(), tenant, before, after));
+    }
+  }
+
+  /** Changes that say nothing of service. Tokens are in the trail by their command, never by their hash. */
+  private void applyQuiet(Change c) {
+    if (c instanceof Change.TaskPut t) {
+      tasks.put(t.task().id(), t.task());
+      nextId = Math.max(nextId, t.task().id() + 1);
+      while (tasks.size() > MOST_TASKS && tasks.firstEntry().getValue().doneAt() > 0) {
+        tasks.pollFirstEntry();
+      }
+    } else if (c instanceof Change.TokenPut t) {
+      tokens.put(t.token().id(), t.token());
+    } else if (c instanceof Change.TokenGone t) {
+      tokens.remove(t.id());
+    } else if (c instanceof KeyPut k) {
+      keys.put(k.key(), k);
+      if (keys.size() > MOST_KEYS) {
+        keys.remove(keys.keySet().iterator().next());
+      }
+    }
+  }
+
+  private void note(Trail t) {
+    trail.add(t);
+    if (trail.size() > MOST_TRAIL) {
+      trail.poll();
+    }
+  }
+
+  private void put(Plan next) {
+    List<HostedVolume> on = new ArrayList<>();
+    if (plans.containsKey(next.name()) && users(next.name()) > 0) {
+      volumes.values().stream().filter(v -> v.plan().equals(next.name())).forEach(on::add);
+    }
+    on.forEach(v -> enter(v, -1));
+    plans.put(next.name(), next);
+    on.forEach(v -> enter(v, 1));
+  }
+
+  private void put(Tenant t) {
+    Tenant old = tenants.put(t.id(), t);
+    quotaSum += t.quota().reserve() - (old == null ? 0 : old.quota().reserve());
+    tenantNames.put(t.name(), t.id());
+    nextId = Math.max(nextId, t.id() + 1);
+  }
+
+  private void dropTenant(long id) {
+    Tenant t = tenants.remove(id);
+    quotaSum -= t.quota().reserve();
+    tenantNames.remove(t.name());
+    volumeNames.remove(id);
+    promised.remove(id);
+    bytes.remove(id);
+    tokens.values().removeIf(k -> k.tenant() == id);
+  }
+
+  private void put(HostedVolume v) {
+    HostedVolume old = volumes.put(v.id(), v);
+    if (old != null) {
+      enter(old, -1);
+      ledger.give(old.extents(), old.extentBytes());
+      planUsers.merge(old.plan(), -1, Integer::sum);
+    }
+    ledger.occupy(v.extents(), v.extentBytes());
+    planUsers.merge(v.plan(), 1, Integer::sum);
+    enter(v, 1);
+    volumeNames.computeIfAbsent(v.tenant(), k -> new TreeMap<>()).put(v.name(), v.id());
+    nextId = Math.max(nextId, v.id() + 1);
+  }
+
+  private void dropVolume(HostedVolume v) {
+    volumes.remove(v.id());
+    enter(v, -1);
+    ledger.give(v.extents(), v.extentBytes());
+    planUsers.merge(v.plan(), -1, Integer::sum);
+    volumeNames.get(v.tenant()).remove(v.name());
+  }
+
+  /** Enters a volume's reserve and bytes in the sums, or takes them out. */
+  private void enter(HostedVolume v, int sign) {
+    double reserve = terms(v).reserve();
+    ledger.promise(v, sign * reserve);
+    promised.merge(v.tenant(), sign * reserve, Double::sum);
+    bytes.merge(v.tenant(), sign * v.bytes(), Long::sum);
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/door/DoorTest.java
@@ -0,0 +1,167 @@
+package hollyslip.door;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hollyslip.door.Door.Owner;
+import hollyslip.door.Door.Place;
+import hollyslip.door.Door.Turned;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+
+class DoorTest {
+  private static Owner owner(String tenant, double weight, long volume) {
+    return new Owner(tenant, weight, volume, 1);
+  }
+
+  /** Tenants of weights 1 and 3 with requests of unlike size, all waiting: what gets in is as the weights. */
+  @Test
+  void tenantsGetInByWeightWhateverTheSizeOfTheirRequests() {
+    Door<String> door = new Door<>(10_000, 1);
+    for (int i = 0; i < 2_000; i++) {
+      door.enter(0, "small", owner("a", 1, 1), 1);
+      door.enter(0, "large", owner("b", 3, 2), 8);
+    }
+    Map<String, Double> cost = new HashMap<>();
+    for (int i = 0; i < 800; i++) {
+      Place<String> p = door.next(i);
+      cost.merge(p.item(), p.item().equals("small") ? 1.0 : 8.0, Double::sum);
+      door.left(p);
+    }
+    assertEquals(3, cost.get("large") / cost.get("small"), 0.05);
+  }
+
+  /** One tenant's volumes do not count against another's, and share within it. */
+  @Test
+  void manyVolumesWinATenantNothing() {
+    Door<Long> door = new Door<>(10_000, 1);
+    for (int i = 0; i < 1_000; i++) {
+      door.enter(0, 0L, owner("one", 1, 1), 1);
+      door.enter(0, 1L, owner("many", 1, 2 + i % 50), 1);
+    }
+    int one = 0;
+    for (int i = 0; i < 400; i++) {
+      Place<Long> p = door.next(i);
+      one += p.item() == 0 ? 1 : 0;
+      door.left(p);
+    }
+    assertEquals(200, one, 2);
+  }
+
+  /** Requests that stay inside, as a limit would have it, keep no other tenant and no other volume out. */
+  @Test
+  void whatStaysInsideKeepsNobodyElseOut() {
+    Door<String> door = new Door<>(1_000, 8);
+    for (int i = 0; i < 50; i++) {
+      door.enter(0, "stuck", owner("a", 1, 1), 1);
+    }
+    int stuck = 0;
+    for (Place<String> p = door.next(0); p != null; p = door.next(0)) {
+      stuck++;
+    }
+    assertEquals(8, stuck);
+    door.enter(1, "other", owner("b", 1, 2), 1);
+    assertEquals("other", door.next(1).item());
+    door.enter(1, "sibling", owner("a", 1, 3), 1);
+    assertEquals("sibling", door.next(1).item());
+    assertNull(door.next(1));
+    assertTrue(door.inside() <= 16);
+  }
+
+  /** A full door turns away the one that has most waiting for its weight. */
+  @Test
+  void theHeavyOneIsTurnedAway() {
+    Door<String> door = new Door<>(100, 1);
+    for (int i = 0; i < 100; i++) {
+      door.enter(i, "heavy", owner("h", 1, 1), 1);
+      assertNull(door.over(i));
+    }
+    door.enter(101, "light", owner("l", 1, 2), 1);
+    assertEquals("heavy", door.over(101).item());
+    assertNull(door.over(101));
+    assertEquals(100, door.waiting());
+  }
+
+  @Test
+  void whoLeavesIsNotLetInAndNothingIsKeptOfThem() {
+    Door<Integer> door = new Door<>(100, 4);
+    List<Place<Integer>> all = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      all.add(door.enter(0, i, owner("t" + i % 7, 1, i % 11), 1));
+    }
+    all.stream().filter(p -> p.item() % 2 == 0).forEach(door::leave);
+    int in = 0;
+    for (Place<Integer> p = door.next(0); p != null; p = door.next(0)) {
+      assertEquals(1, p.item() % 2);
+      door.left(p);
+      door.left(p);
+      in++;
+    }
+    assertEquals(20, in);
+    assertEquals(0, door.flows());
+    assertEquals(0, door.inside());
+  }
+
+  /** A hundred thousand clients once each and one with ten times its share, against a door that serves one
+   * unit each 100 us: bounded memory, no more than its share for the heavy one, and those told to come back
+   * are served within a fifth of the time that they were told. */
+  @Test
+  void aCrowdIsServedAsItWasTold() {
+    int bound = 2_000;
+    Door<long[]> door = new Door<>(bound, 1);
+    PriorityQueue<long[]> arrivals = new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
+    // at, client, told at, told to come at
+    for (int i = 1; i <= 100_000; i++) {
+      arrivals.add(new long[]{i * 50L, i, 0, 0});
+    }
+    for (int i = 0; i < 1_000; i++) {
+      arrivals.add(new long[]{i * 5_000L, 0, 0, 0});
+    }
+    ArrayDeque<Place<long[]>> inside = new ArrayDeque<>();
+    int most = 0;
+    int heavyFirst = 0;
+    int servedFirst = 0;
+    List<Double> late = new ArrayList<>();
+    for (long now = 0; now < 60_000_000 && (!arrivals.isEmpty() || door.waiting() > 0); now += 100) {
+      while (!arrivals.isEmpty() && arrivals.peek()[0] <= now) {
+        long[] client = arrivals.poll();
+        door.enter(now, client, owner("client-" + client[1], 1, client[1]), 1);
+        for (Turned<long[]> t = door.over(now); t != null; t = door.over(now)) {
+          assertTrue(t.retryInUs() > 0);
+          long first = t.item()[2] == 0 ? now : t.item()[2];
+          arrivals.add(new long[]{now + t.retryInUs(), t.item()[1], first, t.item()[3] == 0
+              ? now + t.retryInUs()
+              : t.item()[3]});
+        }
+        most = Math.max(most, door.flows());
+      }
+      Place<long[]> p = door.next(now);
+      if (p != null) {
+        inside.add(p);
+        long[] c = p.item();
+        if (now <= 5_000_000) {
+          servedFirst++;
+          heavyFirst += c[1] == 0 ? 1 : 0;
+        }
+        if (c[3] > 0 && c[1] != 0) {
+          late.add((double) (now - c[2]) / (c[3] - c[2]));
+        }
+        door.left(inside.poll());
+      }
+    }
+    assertTrue(arrivals.stream().allMatch(c -> c[1] == 0) && door.waiting() == 0,
+        "all but the heavy one are served");
+    assertTrue(most <= 2 * (bound + 3), "state for " + most);
+    assertTrue(heavyFirst <= servedFirst / 100, heavyFirst + " of " + servedFirst);
+    late.sort(null);
+    assertTrue(late.size() > 10_000);
+    long kept = late.stream().filter(l -> l > 0.8 && l <= 1.2).count();
+    assertTrue(kept >= late.size() * 0.95, kept + " of " + late.size() + " within a fifth");
+  }
+}
