Hosted volumes over real rings: made, grown, limited and removed in service; command line for it

Tenants' volumes get their sockets when they are made and lose them when they are removed. A removal refuses what comes, waits for what is in flight, and has the devices refuse what still stands in the rings. Members are checked by user number; who is no member any more is cut off. hollyslip tenant, volume, plan and node speak the API.

Seen: with a tenant removed in flight, each of its requests had one answer, and the two others' 1,000 requests each were served as without the removal, by answers and by the stand-ins' log; a limit lowered to a tenth and raised again over four gateways, one killed between, held in every span of the stand-ins' log.

--- /dev/null
+++ b/src/main/java/hollyslip/cli/AdminCommand.java
@@ -0,0 +1,271 @@
+package hollyslip.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import hollyslip.admin.ApiClient;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Speaks the administration API for one kind of thing. What is to be set is given as {@code field=value},
+ * with dots into objects, as the API names the fields. */
+abstract class AdminCommand implements Callable<Integer> {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final Pattern SIZE = Pattern.compile("(\\d+)(KiB|MiB|GiB|TiB)");
+  private static final Map<String, Long> SIZES = Map.of("KiB", 1L << 10, "MiB", 1L << 20, "GiB", 1L << 30,
+      "TiB", 1L << 40);
+
+  enum Verb {
+    LIST, SHOW, CREATE, SET, REMOVE, DRAIN, UNDRAIN
+  }
+
+  @Parameters(index = "0", paramLabel = "VERB", description = "${COMPLETION-CANDIDATES}")
+  Verb verb;
+  @Parameters(index = "1..*", paramLabel = "NAME|FIELD=VALUE", description = "whose; a volume is TENANT/NAME; then fields as the API names them, sizes also with KiB, MiB, GiB")
+  List<String> words = new ArrayList<>();
+  @Option(names = "--socket", paramLabel = "FILE", description = "the gateway's admin.sock", defaultValue = "run/admin.sock")
+  Path socket;
+  @Option(names = "--port", description = "its port on the loopback address, instead of the socket")
+  Integer port;
+  @Option(names = "--trust", paramLabel = "FILE", description = "certificates to believe on the port, PEM")
+  Path trust;
+  @Option(names = "--token-file", paramLabel = "FILE", description = "where the token stands", defaultValue = "state/operator.token")
+  Path tokenFile;
+  @Option(names = "--if-match", paramLabel = "REVISION", description = "change only if it is at this revision; without it, if it has not changed since it was read just before")
+  Long revision;
+  @Option(names = "--json", description = "print the API's answers")
+  boolean json;
+
+  /** Fields of the list's table. */
+  private final String columns;
+
+  AdminCommand(String columns) {
+    this.columns = columns;
+  }
+
+  /** Path of the collection. */
+  abstract String collection(String name);
+
+  /** Path of one. */
+  String path(String name) {
+    return collection(name) + "/" + name;
+  }
+
+  Set<Verb> verbs() {
+    return Set.of(Verb.LIST, Verb.SHOW, Verb.CREATE, Verb.SET, Verb.REMOVE);
+  }
+
+  private String name() throws IOException {
+    if (words.isEmpty() || words.get(0).contains("=")) {
+      throw new IOException("a name is needed");
+    }
+    return words.get(0);
+  }
+
+  @Override
+  public Integer call() throws IOException {
+    if (!verbs().contains(verb)) {
+      System.err.println("this cannot be done to it; can be: " + verbs());
+      return Main.WRONG;
+    }
+    String token = Files.readString(tokenFile).trim();
+    try (ApiClient api = port == null ? ApiClient.at(socket, token) : ApiClient.at(port, trust, token)) {
+      return answer(api);
+    } catch (IOException e) {
+      System.err.println(e.getMessage());
+      return Main.FAILED;
+    }
+  }
+
+  private int answer(ApiClient api) throws IOException {
+    return switch (verb) {
+      case LIST -> list(api);
+      case SHOW -> print(api.ask("GET", path(name()), null, Map.of()));
+      case CREATE -> {
+        ObjectNode body = fields(words.subList(1, words.size()));
+        body.put("name", name().substring(name().indexOf('/') + 1));
+        yield print(api.ask("POST", collection(name()), body, Map.of()));
+      }
+      case SET -> change(api, "PATCH", fields(words.subList(1, words.size())));
+      case DRAIN -> change(api, "PATCH", JSON.createObjectNode().put("state", "draining"));
+      case UNDRAIN -> change(api, "PATCH", JSON.createObjectNode().put("state", "on"));
+      case REMOVE -> change(api, "DELETE", null);
+    };
+  }
+
+  private int change(ApiClient api, String method, JsonNode body) throws IOException {
+    String tag = revision == null ? null : "\"" + revision + "\"";
+    if (tag == null) {
+      ApiClient.Answer now = api.ask("GET", path(name()), null, Map.of());
+      if (!now.good()) {
+        return print(now);
+      }
+      tag = now.tag();
+    }
+    return print(api.ask(method, path(name()), body, Map.of("If-Match", tag)));
+  }
+
+  /** All pages. */
+  private int list(ApiClient api) throws IOException {
+    List<JsonNode> items = new ArrayList<>();
+    String base = collection(words.isEmpty() ? "" : words.get(0) + "/");
+    String after = null;
+    do {
+      ApiClient.Answer a = api.ask("GET", base + "?limit=1000" + (after == null ? "" : "&after=" + after),
+          null, Map.of());
+      if (!a.good()) {
+        return print(a);
+      }
+      a.body().get("items").forEach(items::add);
+      after = a.body().path("next").asText(null);
+    } while (after != null);
+    if (json) {
+      items.forEach(System.out::println);
+    } else {
+      table(items);
+    }
+    return Main.DONE;
+  }
+
+  private void table(List<JsonNode> items) {
+    List<String[]> rows = new ArrayList<>();
+    String[] heads = columns.split(" ");
+    rows.add(heads);
+    for (JsonNode item : items) {
+      String[] row = new String[heads.length];
+      for (int i = 0; i < row.length; i++) {
+        row[i] = item.at("/" + heads[i].replace('.', '/')).asText();
+      }
+      rows.add(row);
+    }
+    int[] widths = new int[heads.length];
+    rows.forEach(r -> {
+      for (int i = 0; i < r.length; i++) {
+        widths[i] = Math.max(widths[i], r[i].length());
+      }
+    });
+    for (String[] row : rows) {
+      StringBuilder line = new StringBuilder();
+      for (int i = 0; i < row.length; i++) {
+        line.append(String.format("%-" + Math.max(1, widths[i]) + "s  ", row[i]));
+      }
+      System.out.println(line.toString().stripTrailing());
+    }
+  }
+
+  private int print(ApiClient.Answer a) {
+    if (a.good()) {
+      if (a.body() != null) {
+        System.out.println(json ? a.body().toString() : a.body().toPrettyString());
+      }
+      return Main.DONE;
+    }
+    JsonNode b = a.body() == null ? JSON.createObjectNode() : a.body();
+    System.err.println(json
+        ? b.toString()
+        : a.status() + " " + b.path("title").asText() + (b.has("field") ? ": " + b.get("field").asText() : "")
+            + ": " + b.path("detail").asText() + (b.has("figures") ? " " + b.get("figures") : ""));
+    return a.status() < 500 ? Main.WRONG : Main.FAILED;
+  }
+
+  /** {@code a.b=1} as an object. */
+  static ObjectNode fields(List<String> words) throws IOException {
+    ObjectNode top = JSON.createObjectNode();
+    for (String w : words) {
+      int eq = w.indexOf('=');
+      if (eq < 1) {
+        throw new IOException("field=value must stand where '" + w + "' does");
+      }
+      String[] path = w.substring(0, eq).split("\\.");
+      ObjectNode in = top;
+      for (int i = 0; i < path.length - 1; i++) {
+        in = in.withObjectProperty(path[i]);
+      }
+      in.set(path[path.length - 1], value(w.substring(eq + 1)));
+    }
+    return top;
+  }
+
+  private static JsonNode value(String text) {
+    Matcher size = SIZE.matcher(text);
+    if (size.matches()) {
+      return JSON.getNodeFactory().numberNode(Long.parseLong(size.group(1)) * SIZES.get(size.group(2)));
+    }
+    try {
+      JsonNode n = JSON.readTree(text);
+      return n != null && (n.isNumber() || n.isNull()) ? n : JSON.getNodeFactory().textNode(text);
+    } catch (IOException e) {
+      return JSON.getNodeFactory().textNode(text);
+    }
+  }
+
+  @Command(name = "tenant", mixinStandardHelpOptions = true, description = "Lists, shows, creates, changes and removes tenants of a running gateway.")
+  static final class Tenants extends AdminCommand {
+    Tenants() {
+      super("name phase revision weight quota.reserve used.reserve quota.bytes used.bytes used.volumes");
+    }
+
+    @Override
+    String collection(String name) {
+      return "/v1/tenants";
+    }
+  }
+
+  @Command(name = "plan", mixinStandardHelpOptions = true, description = "Lists, shows, creates, changes and removes plans of a running gateway.")
+  static final class Plans extends AdminCommand {
+    Plans() {
+      super("name revision reserve weight price limit limit_burst");
+    }
+
+    @Override
+    String collection(String name) {
+      return "/v1/plans";
+    }
+  }
+
+  @Command(name = "volume", mixinStandardHelpOptions = true, description = "Lists, shows, creates, changes and removes volumes: TENANT/NAME; list TENANT.")
+  static final class Volumes extends AdminCommand {
+    Volumes() {
+      super("name phase revision plan bytes terms.reserve terms.weight terms.limit");
+    }
+
+    @Override
+    String collection(String name) {
+      int slash = name.indexOf('/');
+      return "/v1/tenants/" + (slash < 0 ? name : name.substring(0, slash)) + "/volumes";
+    }
+
+    @Override
+    String path(String name) {
+      return collection(name) + "/" + name.substring(name.indexOf('/') + 1);
+    }
+  }
+
+  @Command(name = "node", mixinStandardHelpOptions = true, description = "Lists, shows, drains and undrains storage nodes.")
+  static final class Nodes extends AdminCommand {
+    Nodes() {
+      super("name id shard zone state revision");
+    }
+
+    @Override
+    String collection(String name) {
+      return "/v1/nodes";
+    }
+
+    @Override
+    Set<Verb> verbs() {
+      return Set.of(Verb.LIST, Verb.SHOW, Verb.DRAIN, Verb.UNDRAIN);
+    }
+  }
+}
--- a/src/main/java/hollyslip/cli/HostedVolumes.java
+++ b/src/main/java/hollyslip/cli/HostedVolumes.java
@@ -92,7 +92,7 @@
     return engine.drain(volume(v, t)).thenRun(() -> {
       VhostServer front = fronts.remove(v.id());
       if (front != null) {
-        front.close();
+        front.retire();
       }
       LOG.atInfo().addKeyValue("volume", name(v, t)).addKeyValue("tenant", t.name()).log("volume.gone");
     });
--- a/src/main/java/hollyslip/cli/Main.java
+++ b/src/main/java/hollyslip/cli/Main.java
@@ -11,8 +11,10 @@
 /** Entry of the jar. */
 @Command(name = "hollyslip", mixinStandardHelpOptions = true, version = "hollyslip 0.2.0", description = "A storage gateway that schedules a host's reads and writes across storage nodes.", subcommands = {
     ServeCommand.class, CheckCommand.class, DemoCommand.class, ReplayCommand.class, RingCommand.class,
-    SftpCommand.class, StandinCommand.class, AuditCommand.class, BenchCommand.class, Main.Wire.class,
-    GenerateCompletion.class, HelpCommand.class}, exitCodeListHeading = "%nExit codes:%n", exitCodeList = {
+    SftpCommand.class, StandinCommand.class, AuditCommand.class, BenchCommand.class,
+    AdminCommand.Tenants.class, AdminCommand.Volumes.class, AdminCommand.Plans.class,
+    AdminCommand.Nodes.class, Main.Wire.class, GenerateCompletion.class,
+    HelpCommand.class}, exitCodeListHeading = "%nExit codes:%n", exitCodeList = {
         "0:done; for demo, replay and audit: all rules kept",
         "1:something failed; for demo, replay and audit: a rule was broken",
         "2:the command line, the settings or the input are wrong"}, footerHeading = "%n", footer = "Settings are described in docs/settings.md, operation in docs/operators.md.")
--- a/src/main/java/hollyslip/cli/ServeCommand.java
+++ b/src/main/java/hollyslip/cli/ServeCommand.java
@@ -15,7 +15,7 @@
 
 /** Runs a gateway until SIGTERM. */
 @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs a gateway.",
-    "SIGTERM or SIGINT: takes nothing more, answers everything, ends with 0. SIGHUP: reads the settings again and takes on the node list; a file with faults changes nothing."})
+    "SIGTERM or SIGINT: takes nothing more, answers everything, ends with 0. SIGHUP: reads the settings again and takes on the node list, and the admin API's key and certificate; a file with faults changes nothing."})
 final class ServeCommand implements Callable<Integer> {
   private static final Logger LOG = LoggerFactory.getLogger(ServeCommand.class);
 
@@ -52,6 +52,9 @@
   }
 
   private void reload(Gateway gateway) {
+    if (gateway.admin() != null) {
+      gateway.admin().reloadKeys();
+    }
     Loader.Loaded next = Loader.load(file);
     if (next.faults().isEmpty()) {
       Deployment d = next.deployment();
--- a/src/main/java/hollyslip/engine/Answer.java
+++ b/src/main/java/hollyslip/engine/Answer.java
@@ -16,7 +16,8 @@
   static final Answer SERVED = new Answer(Kind.SERVED, 0);
   static final Answer FAILED = new Answer(Kind.FAILED, 0);
 
-  static Answer refused(long retryInUs) {
+  /** A refusal. */
+  public static Answer refused(long retryInUs) {
     return new Answer(Kind.REFUSED, retryInUs);
   }
 }
--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -50,6 +50,7 @@
   private final long user;
   private volatile Volume volume;
   private volatile boolean grown;
+  private volatile boolean retired;
   private final int socket;
   private int backend = -1;
   private final int wake;
@@ -133,6 +134,12 @@
     wake = Linux.eventfd();
   }
 
+  /** Ends the device since its volume is gone; from another thread. */
+  void retire() {
+    retired = true;
+    stop();
+  }
+
   /** User number of the client. */
   long user() {
     return user;
@@ -208,6 +215,10 @@
       while (!over) {
         turn();
       }
+      if (retired) {
+        lastTurn();
+        return "the volume is removed";
+      }
       return "the gateway ends";
     } catch (Violation e) {
       LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
@@ -329,8 +340,26 @@
     return n > 0;
   }
 
+  /** A volume that was removed meanwhile refuses. */
   private boolean offer(Taken t) {
-    return engine.offer(t.io);
+    try {
+      return engine.offer(t.io);
+    } catch (IllegalArgumentException e) {
+      t.answered(Answer.refused(0));
+      t.released();
+      return true;
+    }
+  }
+
+  /** The volume is gone: what its client has put into the rings by now is refused, so that none of it is left
+   * without an answer. A client that goes on is not waited for. */
+  private void lastTurn() {
+    for (Ring r : rings) {
+      for (int n = 0; n < Virtqueue.MOST_SIZE && r.queue != null && take(r); n++) {
+        give();
+      }
+    }
+    give();
   }
 
   private int tailBytes() {
--- a/src/main/java/hollyslip/front/vhost/VhostServer.java
+++ b/src/main/java/hollyslip/front/vhost/VhostServer.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import java.util.function.LongPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -105,6 +106,15 @@
 
   /** Takes no more connections and ends the devices. Answers must have been given before. */
   public void close() {
+    end(Device::stop);
+  }
+
+  /** As {@link #close}, when the volume is gone: what clients have put into their rings is refused. */
+  public void retire() {
+    end(Device::retire);
+  }
+
+  private void end(Consumer<Device> how) {
     closing = true;
     acceptor.remove(tag);
     try {
@@ -112,6 +122,6 @@
     } catch (IOException e) {
       LOG.atDebug().addKeyValue("volume", volume).addKeyValue("why", e.getMessage()).log("vhost.close");
     }
-    devices.forEach(Device::stop);
+    devices.forEach(how);
   }
 }
--- /dev/null
+++ b/src/test/java/hollyslip/e2e/HostedTest.java
@@ -0,0 +1,324 @@
+package hollyslip.e2e;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import hollyslip.admin.ApiClient;
+import hollyslip.cli.Gateway;
+import hollyslip.engine.Engine;
+import hollyslip.load.Child;
+import hollyslip.load.RingClient;
+import hollyslip.standin.Command;
+import hollyslip.standin.DiskServer;
+import hollyslip.volume.IoKind;
+import hollyslip.volume.Volume;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tenants made, changed and removed through the API while their rings and others' are at work. */
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class HostedTest {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int REFUSED = 128;
+
+  @TempDir
+  Path dir;
+
+  private static void until(Callable<Boolean> what) {
+    Awaitility.await().pollInterval(2, TimeUnit.MILLISECONDS).atMost(30, TimeUnit.SECONDS).until(what);
+  }
+
+  private ApiClient client(String gateway) throws IOException {
+    return ApiClient.at(dir.resolve(gateway).resolve("admin.sock"), Files.readString(dir.resolve(gateway
+        + "-state/operator.token")).trim());
+  }
+
+  private static JsonNode json(String text) throws IOException {
+    return JSON.readTree(text.replace('\'', '"'));
+  }
+
+  private static ApiClient.Answer ask(ApiClient api, String method, String path, String body)
+      throws IOException {
+    ApiClient.Answer a = api.ask(method, path, body == null ? null : json(body), Map.of("If-Match", "*"));
+    assertTrue(a.good(), () -> a.toString());
+    return a;
+  }
+
+  private static long me() throws IOException {
+    return ((Number) Files.getAttribute(Path.of("/proc/self"), "unix:uid")).longValue();
+  }
+
+  private static void tenant(ApiClient api, String name, String plan) throws IOException {
+    ask(api, "POST", "/v1/tenants", "{'name':'" + name
+        + "','quota':{'reserve':1000,'bytes':8388608},'members':{'me':" + me() + "}}");
+    ask(api, "POST", "/v1/tenants/" + name + "/volumes", "{'name':'v','plan':'" + plan
+        + "','bytes':1048576,'extent_bytes':65536}");
+    until(() -> ask(api, "GET", "/v1/tenants/" + name + "/volumes/v", null).body().get("phase").asText()
+        .equals("active"));
+  }
+
+  private static RingClient ring(Path socket) throws IOException {
+    RingClient c = new RingClient(RingClient.Options.usual(1, 64, 4096));
+    c.connect(socket);
+    return c;
+  }
+
+  @Test
+  void aVolumeIsMadeServedGrownAndRemoved() throws Exception {
+    try (Site site = new Site(dir, 3)) {
+      site.hosted = true;
+      Gateway g = site.gateway("gw", 0);
+      try (ApiClient api = client("gw")) {
+        ask(api, "POST", "/v1/plans", "{'name':'gold','reserve':100,'weight':1}");
+        tenant(api, "lee", "gold");
+        byte[] bytes = new byte[4096];
+        Arrays.fill(bytes, (byte) 7);
+        Path socket = g.socket("lee", "v");
+        try (RingClient c = ring(socket)) {
+          assertEquals(0, Rings.one(c, IoKind.WRITE, 65536 * 3 + 4096, 4096, bytes));
+          byte[] read = new byte[4096];
+          assertEquals(0, Rings.one(c, IoKind.READ, 65536 * 3 + 4096, 4096, read));
+          assertArrayEquals(bytes, read);
+          assertEquals(1, Rings.one(c, IoKind.READ, 1048576, 4096, read), "behind the end");
+          JsonNode before = ask(api, "GET", "/v1/tenants/lee/volumes/v", null).body().get("shards");
+          assertEquals(3, before.size(), "spread over the shards");
+          ask(api, "PATCH", "/v1/tenants/lee/volumes/v", "{'bytes':2097152}");
+          until(() -> g.engine().volumes().get("lee/v").bytes() == 2097152);
+          until(() -> Rings.one(c, IoKind.READ, 1048576, 4096, read) == 0);
+          assertEquals(0, Rings.one(c, IoKind.READ, 65536 * 3 + 4096, 4096, read));
+          assertArrayEquals(bytes, read, "what was there stays where it was");
+          // Whoever is no member any more is cut off, and cannot come back.
+          ask(api, "PATCH", "/v1/tenants/lee", "{'members':{'me':null,'other':" + (me() + 1) + "}}");
+          until(() -> !c.await(10));
+        }
+        try (RingClient c = new RingClient(RingClient.Options.usual(1, 64, 4096))) {
+          boolean served;
+          try {
+            c.connect(socket);
+            served = c.await(5_000);
+          } catch (IOException e) {
+            served = false;
+          }
+          assertFalse(served, "no member");
+        }
+        ask(api, "DELETE", "/v1/tenants/lee/volumes/v", null);
+        until(() -> !Files.exists(socket));
+        assertFalse(g.engine().volumes().containsKey("lee/v"));
+      }
+    }
+  }
+
+  /** A client that keeps so many requests out until told to stop, then waits for all of them. */
+  private static final class Busy extends Thread {
+    final RingClient ring;
+    final int depth;
+    final AtomicIntegerArray answers = new AtomicIntegerArray(256);
+    volatile int asked, answered, doubled;
+    volatile boolean over, polite, quit;
+    volatile long pace;
+    volatile int most = Integer.MAX_VALUE;
+
+    Busy(Path socket, int depth) throws IOException {
+      ring = ring(socket);
+      this.depth = depth;
+    }
+
+    @Override
+    public void run() {
+      long next = System.nanoTime();
+      boolean connected = true;
+      while (connected && !quit && !(over && ring.out() == 0) && !(answered == most)) {
+        while (!over && asked < most && ring.out() < depth && System.nanoTime() >= next) {
+          boolean[] told = new boolean[1];
+          int n = asked++;
+          ring.submit(0, n % 3 == 0 ? IoKind.WRITE : IoKind.READ, n % 200 * 4096L, 4096, n % 3 == 0
+              ? java.nio.ByteBuffer.allocate(4096)
+              : null, (s, r, d) -> {
+                doubled += told[0] ? 1 : 0;
+                told[0] = true;
+                answered++;
+                answers.incrementAndGet(s);
+                over |= polite && s == REFUSED;
+              });
+          next = Math.max(next + pace, System.nanoTime() - 50 * pace);
+        }
+        ring.kick();
+        connected = ring.await(1);
+        ring.poll();
+      }
+      ring.poll();
+    }
+  }
+
+  /** Of a removed tenant every request that is in flight gets one final answer; the others, who ask at a
+   * pace, are served all the same: compared with a run without the removal by answers and by the stand-ins'
+   * log. */
+  @Test
+  void aTenantIsRemovedWhileItsRequestsAreInFlight() throws Exception {
+    long[] with = removal(dir.resolve("with"), true);
+    long[] without = removal(dir.resolve("without"), false);
+    for (int i = 0; i < 4; i++) {
+      assertEquals(without[i], with[i], without[i] * 0.02, "figure " + i);
+    }
+  }
+
+  /** Served to b and to c by their rings, and commands done on their extents at the stand-ins. */
+  private long[] removal(Path at, boolean removed) throws Exception {
+    Files.createDirectories(at);
+    try (Site site = new Site(at, 2, i -> DiskServer.Config.timed("disk-" + i, Site.SHARD_BYTES, 4, 256,
+        1_000, i))) {
+      site.hosted = true;
+      Gateway g = site.gateway("gw", 0);
+      try (ApiClient api = ApiClient.at(at.resolve("gw/admin.sock"), Files.readString(at.resolve(
+          "gw-state/operator.token")).trim())) {
+        ask(api, "POST", "/v1/plans", "{'name':'gold','reserve':200,'weight':1}");
+        for (String t : List.of("a", "b", "c")) {
+          tenant(api, t, "gold");
+        }
+        Busy a = new Busy(g.socket("a", "v"), 32);
+        a.polite = true;
+        List<Busy> others = new ArrayList<>();
+        for (String t : List.of("b", "c")) {
+          Busy o = new Busy(g.socket(t, "v"), 16);
+          o.pace = 2_000_000;
+          o.most = 1_000;
+          others.add(o);
+        }
+        a.start();
+        others.forEach(Thread::start);
+        until(() -> a.answered > 300 && others.get(0).asked > 200);
+        if (removed) {
+          String task = ask(api, "DELETE", "/v1/tenants/a", null).location();
+          until(() -> ask(api, "GET", task, null).body().get("state").asText().equals("done"));
+        }
+        a.over = true;
+        a.join(30_000);
+        for (Busy o : others) {
+          o.join(60_000);
+          assertEquals(1_000, o.answered);
+          assertEquals(0, o.doubled);
+        }
+        assertEquals(a.asked, a.answered, "each has its answer");
+        assertEquals(0, a.doubled);
+        assertEquals(a.asked, a.answers.get(0) + a.answers.get(REFUSED) + a.answers.get(1));
+        assertTrue(!removed || a.answers.get(REFUSED) > 0, "some came after the removal began");
+        List<Command> log = site.disks.stream().flatMap(d -> d.commands().stream()).toList();
+        long[] figures = new long[4];
+        for (int i = 0; i < 2; i++) {
+          figures[i] = others.get(i).answers.get(0);
+        }
+        for (int i = 0; i < 2; i++) {
+          List<Volume.Extent> extents = g.engine().volumes().get(List.of("b/v", "c/v").get(i)).extents();
+          figures[2 + i] = log.stream().filter(c -> c.doneUs() > 0 && extents.contains(new Volume.Extent(
+              Integer.parseInt(c.export().substring(6)), c.offset() / 65536 * 65536))).count();
+          assertTrue(figures[2 + i] >= 1_000);
+        }
+        if (removed) {
+          assertFalse(Files.exists(g.socket("a", "v")));
+        }
+        return figures;
+      }
+    }
+  }
+
+  private static void limit(List<ApiClient> all, double limit, double burst) throws IOException {
+    for (ApiClient api : all) {
+      ask(api, "PATCH", "/v1/plans/capped", "{'limit':" + limit + ",'limit_burst':" + burst + "}");
+    }
+  }
+
+  /** Four gateways, one limit: lowered to a tenth in a surge, raised again, one of the gateways killed
+   * between. By the stand-ins' log all together stay under what was told, in every span. */
+  @Test
+  void aLimitThatChangesHoldsOverAllGatewaysAndAKill() throws Exception {
+    try (Site site = new Site(dir, 2)) {
+      site.hosted = true;
+      site.hosts = 4;
+      Child[] children = new Child[4];
+      List<ApiClient> apis = new ArrayList<>();
+      List<Busy> clients = new ArrayList<>();
+      try {
+        for (int i = 0; i < 4; i++) {
+          children[i] = new Child(site.settings("gw-" + i, i, 4), dir.resolve("log-" + i));
+          apis.add(client("gw-" + i));
+          ask(apis.get(i), "POST", "/v1/plans",
+              "{'name':'capped','reserve':10,'weight':1,'limit':2000,'limit_burst':200,'limit_slack':20}");
+          tenant(apis.get(i), "t", "capped");
+          clients.add(new Busy(dir.resolve("gw-" + i + "/t/v.sock"), 8));
+        }
+        clients.forEach(Thread::start);
+        until(() -> clients.stream().allMatch(c -> c.answered > 300));
+        limit(apis, 200, 20);
+        long lowered = Engine.clock();
+        clients.get(3).over = true;
+        children[3].kill();
+        apis.get(3).close();
+        children[3] = new Child(site.settings("gw-3", 3, 4), dir.resolve("log-3"));
+        apis.set(3, client("gw-3"));
+        Busy back = new Busy(dir.resolve("gw-3/t/v.sock"), 8);
+        clients.set(3, back);
+        back.start();
+        until(() -> back.answered > 40);
+        long raised = Engine.clock();
+        limit(apis, 2000, 200);
+        int before = clients.get(0).answered;
+        until(() -> clients.get(0).answered > before + 300);
+        for (Busy c : clients) {
+          c.over = true;
+          c.join(30_000);
+        }
+        long[] at = site.disks.stream().flatMap(d -> d.commands().stream()).mapToLong(Command::receivedUs)
+            .sorted().toArray();
+        // A tenth of a second for what was sent before the change was told and had not arrived.
+        assertTrue(most(at, lowered + 100_000, raised, 200, 20 + 20) <= 0, "lowered");
+        assertTrue(most(at, 0, Long.MAX_VALUE, 2000, 200 + 20) <= 0, "throughout");
+        assertTrue(Arrays.stream(at).filter(t -> t > lowered && t < raised).count() > 40);
+      } finally {
+        for (Busy c : clients) {
+          // Its memory may go only when its thread has ended.
+          c.quit = true;
+          c.join(10_000);
+          c.ring.close();
+        }
+        apis.forEach(ApiClient::close);
+        for (Child c : children) {
+          if (c != null) {
+            c.stop();
+          }
+        }
+      }
+    }
+  }
+
+  /** By how many units the worst span passes a rate and burst; 0 or less: none does. */
+  private static double most(long[] at, long from, long to, double rate, double burst) {
+    double level = 0;
+    double worst = -burst;
+    long last = Long.MIN_VALUE;
+    for (long t : at) {
+      if (t >= from && t <= to) {
+        level = last == Long.MIN_VALUE ? 0 : Math.max(0, level - (t - last) * rate / 1e6);
+        level += 1;
+        last = t;
+        worst = Math.max(worst, level - burst);
+      }
+    }
+    return worst;
+  }
+}
--- a/src/test/java/hollyslip/e2e/Site.java
+++ b/src/test/java/hollyslip/e2e/Site.java
@@ -30,6 +30,8 @@
   long deadlineUs = 2_000_000;
   long coldUs = 5_000_000;
   int hosts = 1;
+  boolean hosted;
+  double capacity = 100_000;
   Plan limited = new Plan("limited", 2_000, 1_000, 1, 1, 4_000, 400, 40);
 
   Site(Path dir, int nodes) throws IOException {
@@ -62,15 +64,18 @@
     List<Deployment.Node> nodes = new ArrayList<>();
     for (int i = 0; i < disks.size(); i++) {
       nodes.add(new Deployment.Node(100 + i, disks.get(i).name(), "127.0.0.1", disks.get(i).address()
-          .getPort(), "a", i, draining.contains(i) ? NodeState.DRAINING : NodeState.ON));
+          .getPort(), "a", i, draining.contains(i) ? NodeState.DRAINING : NodeState.ON, capacity,
+          SHARD_BYTES));
     }
     List<Volume> volumes = List.of(volume(1, "stock", "gold", disks.size(), hosts), volume(2, "orders",
         "gold", disks.size(), hosts), volume(3, "capped", "limited", disks.size(), hosts));
     return new Deployment(new Deployment.Process(name, index, hosts, "a", dir.resolve(name), dir.resolve(name
-        + "-state"), 7, 1_000, 4096, 10_000, 256 << 20, 2, 256, 2, true), classes, rows, List.of(new Plan(
-            "gold", 1e6, 1e5, 3, 1, 0, 0, 0), limited), new Rules(8_000, 1_000_000, 0.2, coldUs, 3, 2_000_000,
-                300_000, 0.5, 20, 5_000_000, 0), new Allowed(4, false, false, false, true, 500_000, 250_000),
-        new Store(1, 256, 200, 0.4, 0.1, 0, false), nodes, volumes);
+        + "-state"), 7, 1_000, 4096, 10_000, 256 << 20, 2, 256, 2, true, hosted
+            ? new Deployment.Hosting(0, null, null)
+            : null), classes, rows, List.of(new Plan("gold", 1e6, 1e5, 3, 1, 0, 0, 0), limited), new Rules(
+                8_000, 1_000_000, 0.2, coldUs, 3, 2_000_000, 300_000, 0.5, 20, 5_000_000, 0), new Allowed(4,
+                    false, false, false, true, 500_000, 250_000), new Store(1, 256, 200, 0.4, 0.1, 0, false),
+        nodes, volumes);
   }
 
   /** The same deployment as a script, for a gateway in a process of its own. */
@@ -78,7 +83,9 @@
     StringBuilder s = new StringBuilder();
     s.append(String.format(
         "gateway('%s', index = %d, hosts = %d, zone = 'a', socket_dir = '%s', state_dir = '%s-state', "
-            + "unit_bytes = 4 * KiB)%n", name, index, hosts, name, name));
+            + "unit_bytes = 4 * KiB, hosted = %s)%n", name, index, hosts, name, name, hosted
+                ? "True"
+                : "False"));
     s.append(String.format(
         "rules(drain_grace = seconds(1), cold_from = 0.2, cold = %d, fall_multiple = 3, fall = seconds(2), "
             + "settle = ms(300), budget_share = 0.5, budget_free = 20, budget_window = seconds(5))%n",
@@ -96,8 +103,8 @@
             + "%s)%n", limited.rate(), limited.reserve(), limited.limit(), limited.limitBurst(), limited
                 .limitSlack()));
     for (int i = 0; i < disks.size(); i++) {
-      s.append(String.format("node('%s', id = %d, port = %d, shard = %d)%n", disks.get(i).name(), 100 + i,
-          disks.get(i).address().getPort(), i));
+      s.append(String.format("node('%s', id = %d, port = %d, shard = %d, capacity = %s, bytes = %d)%n", disks
+          .get(i).name(), 100 + i, disks.get(i).address().getPort(), i, capacity, SHARD_BYTES));
     }
     int id = 0;
     for (String v : List.of("stock", "orders", "capped")) {
