--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -339,6 +339,8 @@
     final String zone;
     final int cell;
     final Map<Long, Volume> volumes = new LinkedHashMap<>();
+    /** Those that hold requests: a choice costs by these, not by all that were ever seen. */
+    final Set<Volume> holding = new LinkedHashSet<>();
     NodeState state = NodeState.GONE;
     /** When it came up, as this host believes and as the list said last; the first may be later. */
     long born, listedBorn;
@@ -516,14 +518,20 @@
     }
 
     void hold(Pending p) {
-      volume(p).held.put(p.seq, p);
+      Volume v = volume(p);
+      v.held.put(p.seq, p);
+      holding.add(v);
       p.node = this;
       held++;
     }
 
     void unhold(Pending p) {
-      if (volume(p).held.remove(p.seq) != null) {
+      Volume v = volume(p);
+      if (v.held.remove(p.seq) != null) {
         held--;
+        if (v.held.isEmpty()) {
+          holding.remove(v);
+        }
       }
     }
 
@@ -885,7 +893,7 @@
     Volume of = null;
     double most = 0;
     n.wait = n.expected();
-    for (Volume v : n.volumes.values()) {
+    for (Volume v : n.holding) {
       v.fill(now);
       for (Pending p : v.held.values()) {
         if (!ready(n, p)) {
--- a/src/main/java/hollyslip/cli/AdminCommand.java
+++ b/src/main/java/hollyslip/cli/AdminCommand.java
@@ -74,12 +74,19 @@
   }
 
   @Override
-  public Integer call() throws IOException {
+  public Integer call() {
     if (!verbs().contains(verb)) {
       System.err.println("this cannot be done to it; can be: " + verbs());
       return Main.WRONG;
     }
-    String token = Files.readString(tokenFile).trim();
+    Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.WARN);
+    String token;
+    try {
+      token = Files.readString(tokenFile).trim();
+    } catch (IOException e) {
+      System.err.println("--token-file: " + tokenFile + " cannot be read: " + e.getClass().getSimpleName());
+      return Main.WRONG;
+    }
     try (ApiClient api = port == null ? ApiClient.at(socket, token) : ApiClient.at(port, trust, token)) {
       return answer(api);
     } catch (IOException e) {
--- a/src/main/java/hollyslip/cli/BenchCommand.java
+++ b/src/main/java/hollyslip/cli/BenchCommand.java
@@ -5,7 +5,7 @@
 
 /** Measurements. */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measurements on this machine.", subcommands = {
-    BenchRing.class})
+    BenchRing.class, BenchTenants.class})
 final class BenchCommand implements Callable<Integer> {
   @Override
   public Integer call() {
--- /dev/null
+++ b/src/main/java/hollyslip/cli/BenchTenants.java
@@ -0,0 +1,296 @@
+package hollyslip.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import hollyslip.Choice;
+import hollyslip.HostScheduler;
+import hollyslip.HostScheduler.Listed;
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.admin.ApiClient;
+import hollyslip.admin.Carrier;
+import hollyslip.admin.Control;
+import hollyslip.load.RingBench;
+import hollyslip.load.RingBench.Node;
+import hollyslip.load.RingBench.Row;
+import hollyslip.settings.Deployment;
+import hollyslip.settings.Loader;
+import hollyslip.store.Folder;
+import hollyslip.tenant.HostedVolume;
+import hollyslip.tenant.Shard;
+import hollyslip.tenant.Tenant;
+import hollyslip.tenant.Terms;
+import hollyslip.tenant.Wish;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** What tenants cost: changes while requests flow, a neighbour that floods, starts from the store, and the
+ * module with many volumes. */
+@Command(name = "tenants", mixinStandardHelpOptions = true, description = "Changes a second with their sync and what they cost requests; a flooding neighbour; recovery by size; the module with 10 and with 50,000 volumes.")
+final class BenchTenants implements Callable<Integer> {
+  private static final long BYTES = 4 << 20;
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  @Option(names = "--rounds", defaultValue = "3", description = "rounds")
+  int rounds;
+  @Option(names = "--seconds", defaultValue = "2", description = "seconds of one measurement")
+  double seconds;
+
+  @Override
+  public Integer call() throws Exception {
+    Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.WARN);
+    Path dir = Files.createTempDirectory("hollyslip-bench-");
+    module();
+    recovery(dir);
+    traffic(dir);
+    return Main.DONE;
+  }
+
+  // The module alone.
+
+  private static HostScheduler.Settings settings(Path dir) throws IOException {
+    return deployment(dir, List.of(1, 2)).module();
+  }
+
+  private void module() throws IOException {
+    System.out.printf("%-24s %12s %14s%n", "module, volumes", "ns/request", "bytes/volume");
+    for (int round = 0; round < rounds; round++) {
+      for (int volumes : new int[]{10, 50_000}) {
+        measure(volumes);
+      }
+    }
+  }
+
+  private void measure(int volumes) throws IOException {
+    Choice choice = new Choice(settings(Files.createTempDirectory("hollyslip-bench-")));
+    long[] now = {1_000_000};
+    List<HostScheduler.Action> actions = new ArrayList<>();
+    choice.handle(now[0], new HostScheduler.NodeList(true, List.of(new Listed(1, "a", 0, NodeState.ON, 0),
+        new Listed(2, "a", 1, NodeState.ON, 0))), actions::add);
+    System.gc();
+    long before = used();
+    HostScheduler.Plan plan = new HostScheduler.Plan("p", 10, 1, 1, 1, 0, 0, 0);
+    for (int v = 0; v < volumes; v++) {
+      choice.handle(now[0], new HostScheduler.VolumeChanged(v, 1, plan, 1 + v / 5, 1), actions::add);
+    }
+    SplittableRandom random = new SplittableRandom(1);
+    long id = 0;
+    long from = 0;
+    int counted = 400_000;
+    for (int i = 0; i < counted * 2; i++) {
+      if (i == counted) {
+        from = System.nanoTime();
+      }
+      now[0] += 20;
+      actions.clear();
+      long r = id++;
+      choice.handle(now[0], new HostScheduler.Request(r, "any", "p", r, random.nextInt(volumes), 1, (int) (r
+          & 1), 1, 5_000_000, false), actions::add);
+      for (HostScheduler.Action a : List.copyOf(actions)) {
+        if (a instanceof HostScheduler.Send s) {
+          choice.handle(now[0] + 5, new HostScheduler.Outcome(s.request(), 0, s.node(),
+              HostScheduler.Result.OK, true, 100, 0, 0, null), actions::add);
+        }
+      }
+    }
+    long took = System.nanoTime() - from;
+    System.gc();
+    System.out.printf(Locale.ROOT, "%-24d %12.0f %14.0f%n", volumes, (double) took / counted, volumes < 100
+        ? 0
+        : (double) (used() - before) / volumes);
+    java.lang.ref.Reference.reachabilityFence(choice);
+  }
+
+  private static long used() {
+    Runtime r = Runtime.getRuntime();
+    return r.totalMemory() - r.freeMemory();
+  }
+
+  // The store.
+
+  private static final class Idle implements Carrier {
+    @Override
+    public CompletableFuture<Void> serve(HostedVolume v, Tenant t, HostScheduler.VolumeChanged terms) {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> drain(HostedVolume v, Tenant t) {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public void node(String name, NodeState state) {}
+
+    @Override
+    public Map<String, NodeView> nodes() {
+      return Map.of();
+    }
+  }
+
+  private static Control control(Path dir) throws IOException {
+    List<Shard> shards = new ArrayList<>();
+    for (int i = 0; i < 36; i++) {
+      shards.add(new Shard(i, "zone-" + i % 3, 1e7, 1L << 40, List.of()));
+    }
+    return new Control(new Folder(dir), shards, 1 << 20, 1, new Idle(), System::currentTimeMillis);
+  }
+
+  private void recovery(Path dir) throws Exception {
+    System.out.printf("%n%-24s %10s %12s %14s %14s%n", "store", "volumes", "made/s", "log, ms",
+        "snapshot, ms");
+    for (int tenants : new int[]{10, 1_000, 10_000}) {
+      Path folder = dir.resolve("store-" + tenants);
+      Control c = control(folder);
+      long from = System.nanoTime();
+      c.command((r, at) -> r.createPlan(at, "bench", new Wish.ForPlan("p", new Terms(10, 1, 1, 1, 0, 0, 0))),
+          r -> null).join();
+      List<CompletableFuture<Object>> all = new ArrayList<>();
+      for (int t = 0; t < tenants; t++) {
+        String name = "t" + t;
+        all.add(c.command((r, at) -> r.createTenant(at, "bench", new Wish.ForTenant(name, 1, new Tenant.Quota(
+            100, 1L << 40, 100), Map.of())), r -> null));
+        for (int v = 0; v < 5; v++) {
+          String volume = "v" + v;
+          all.add(c.command((r, at) -> r.createVolume(at, "bench", name, new Wish.ForVolume(volume, "p", null,
+              16 << 20, 4 << 20)), r -> null));
+        }
+      }
+      all.forEach(CompletableFuture::join);
+      double rate = all.size() / ((System.nanoTime() - from) / 1e9);
+      c.close();
+      double log = open(folder, true);
+      double snapshot = open(folder, false);
+      System.out.printf(Locale.ROOT, "%-24s %10d %12.0f %14.0f %14.0f%n", tenants + " tenants", tenants * 5,
+          rate, log, snapshot);
+    }
+  }
+
+  /** Ms until the registry is there; keeps a snapshot then. */
+  private static double open(Path folder, boolean keep) throws IOException {
+    long from = System.nanoTime();
+    Control c = control(folder);
+    double ms = (System.nanoTime() - from) / 1e6;
+    if (keep) {
+      c.keep().join();
+    }
+    c.close();
+    return ms;
+  }
+
+  // Over sockets.
+
+  private static Deployment deployment(Path dir, List<Integer> ports) throws IOException {
+    StringBuilder s = new StringBuilder(
+        """
+            gateway("bench", socket_dir = "run", state_dir = "state", unit_bytes = 4 * KiB, hosted = True)
+            rules(drain_grace = seconds(1), cold_from = 0.2, cold = seconds(5), fall_multiple = 3, fall = seconds(2), settle = ms(300))
+            store(mean_units = 1, most_units = 256)
+            request_class("any", kinds = ["read", "write", "flush", "discard", "write_zeroes"], effect = "safe", aim = ms(250), deadline = seconds(5))
+            plan("p", rate = 1e6, reserve = 1e6, weight = 1)
+            """);
+    for (int i = 0; i < ports.size(); i++) {
+      s.append(String.format("node('n-%d', port = %d, shard = %d, capacity = 1e6, bytes = 16 * MiB)%n", i,
+          ports.get(i), i));
+    }
+    Loader.Loaded loaded = Loader.load(Files.writeString(dir.resolve("bench.star"), s));
+    if (!loaded.faults().isEmpty()) {
+      throw new IOException(loaded.faults().toString());
+    }
+    return loaded.deployment();
+  }
+
+  private static void ask(ApiClient api, String method, String path, String body) throws IOException {
+    ApiClient.Answer a = api.ask(method, path, JSON.readTree(body.replace('\'', '"')), Map.of("If-Match",
+        "*"));
+    if (!a.good()) {
+      throw new IOException(path + ": " + a);
+    }
+  }
+
+  private void traffic(Path dir) throws Exception {
+    List<Node> nodes = List.of(new Node("node-0"), new Node("node-1"));
+    Gateway gateway = new Gateway(deployment(dir, nodes.stream().map(n -> n.address.getPort()).toList()));
+    String token = Files.readString(dir.resolve("state/operator.token")).trim();
+    try (ApiClient api = ApiClient.at(dir.resolve("run/admin.sock"), token)) {
+      long me = ((Number) Files.getAttribute(Path.of("/proc/self"), "unix:uid")).longValue();
+      ask(api, "POST", "/v1/plans", "{'name':'p','reserve':100,'weight':1}");
+      for (String t : List.of("a", "b")) {
+        ask(api, "POST", "/v1/tenants", "{'name':'" + t
+            + "','quota':{'reserve':200,'bytes':16777216},'members':{'me':" + me + "}}");
+        ask(api, "POST", "/v1/tenants/" + t + "/volumes",
+            "{'name':'v','plan':'p','bytes':4194304,'extent_bytes':65536}");
+      }
+      while (!Files.exists(gateway.socket("b", "v"))) {
+        Thread.sleep(5);
+      }
+      System.out.printf("%n%-34s %8s %10s %9s %9s %11s %12s%n", "requests of b, 4 KiB reads", "depth",
+          "requests/s", "p50 us", "p99 us", "changes/s", "change p99");
+      for (int round = 0; round < rounds; round++) {
+        print("alone", RingBench.ring("b", gateway.socket("b", "v"), 4, seconds, BYTES, gateway.engine()), 4,
+            null, 0);
+        changing(gateway, api);
+        flooded(gateway);
+      }
+    }
+    gateway.close();
+    nodes.forEach(Node::close);
+  }
+
+  private static void print(String what, Row r, int depth, Histogram changes, double changeSeconds) {
+    System.out.printf(Locale.ROOT, "%-34s %8d %10.0f %9.1f %9.1f %11s %12s%n", what, depth, r.rate(), r.p50(),
+        r.p99(), changes == null
+            ? "-"
+            : String.format(Locale.ROOT, "%.0f", changes.getTotalCount() / changeSeconds), changes == null
+                ? "-"
+                : changes.getValueAtPercentile(99) + " us");
+  }
+
+  /** One administrator changes tenant a, one change after the other. */
+  private void changing(Gateway gateway, ApiClient api) throws Exception {
+    Histogram took = new Histogram(60_000_000, 3);
+    boolean[] over = new boolean[1];
+    long from = System.nanoTime();
+    Thread t = new Thread(() -> {
+      for (int i = 0; !over[0]; i++) {
+        long at = System.nanoTime();
+        try {
+          ask(api, "PATCH", "/v1/tenants/a", "{'weight':" + (1 + i % 7) + "}");
+        } catch (IOException e) {
+          throw new java.io.UncheckedIOException(e);
+        }
+        took.recordValue((System.nanoTime() - at) / 1_000);
+      }
+    });
+    t.start();
+    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, seconds, BYTES, gateway.engine());
+    over[0] = true;
+    t.join();
+    print("while tenant a is changed", r, 4, took, (System.nanoTime() - from) / 1e9);
+  }
+
+  /** Tenant a keeps its rings full. */
+  private void flooded(Gateway gateway) throws Exception {
+    Row[] flood = new Row[1];
+    Thread t = new Thread(() -> {
+      try {
+        flood[0] = RingBench.ring("a", gateway.socket("a", "v"), 256, seconds * 1.5, BYTES, gateway.engine());
+      } catch (Exception e) {
+        throw new IllegalStateException(e);
+      }
+    });
+    t.start();
+    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, seconds, BYTES, gateway.engine());
+    t.join();
+    print("while tenant a keeps 256 out", r, 4, null, 0);
+  }
+}
--- a/src/main/java/hollyslip/cli/HostedVolumes.java
+++ b/src/main/java/hollyslip/cli/HostedVolumes.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -81,6 +82,8 @@
       Path path = socket(t.name(), v.name());
       Files.createDirectories(path.getParent());
       fronts.put(v.id(), new VhostServer(engine, acceptor, name(v, t), path, members(t)));
+      // Anybody may knock: who is no member is turned away by the user number that the kernel tells.
+      Files.setPosixFilePermissions(path, PosixFilePermissions.fromString("rw-rw-rw-"));
       LOG.atInfo().addKeyValue("volume", name(v, t)).addKeyValue("tenant", t.name()).log("volume.served");
     } catch (IOException e) {
       throw new java.io.UncheckedIOException(e);
--- a/src/main/java/hollyslip/settings/Loader.java
+++ b/src/main/java/hollyslip/settings/Loader.java
@@ -69,6 +69,9 @@
     }
     if (faults.isEmpty()) {
       JsonNode full = script.declared().deepCopy();
+      if (!full.has("volume")) {
+        ((ObjectNode) full).putArray("volume");
+      }
       defaults((ObjectNode) full);
       new References(script, full).check(faults);
       if (faults.isEmpty()) {
@@ -120,6 +123,9 @@
       if (gateway.get("admin_cert").asText().isEmpty() != gateway.get("admin_key").asText().isEmpty()) {
         fault("gateway", 0, "admin_cert and admin_key must stand together");
       }
+      if (all.get("volume").isEmpty() && !gateway.get("hosted").asBoolean()) {
+        faults.add(new Fault(null, "volume: none is declared, and no tenants are hosted"));
+      }
       classes();
       plans();
       nodes();
