--- a/src/main/java/hollyslip/tenant/Tenant.java
+++ b/src/main/java/hollyslip/tenant/Tenant.java
@@ -26,7 +26,9 @@
   public record Quota(double reserve, long bytes, int volumes) {
     public Quota {
       Terms.within(reserve, 0, "quota.reserve");
-      Terms.within(bytes, 0, "quota.bytes");
+      if (bytes < 0) {
+        throw Refusal.invalid("quota.bytes", "quota.bytes must be at least 0, not " + bytes);
+      }
       Terms.within(volumes, 0, "quota.volumes");
     }
   }
