--- a/src/main/java/hollyslip/admin/Control.java
+++ b/src/main/java/hollyslip/admin/Control.java
@@ -178,7 +178,7 @@
     List<Step> steps = new ArrayList<>();
     List<Change.NodePut> nodes = new ArrayList<>();
     for (Change c : entry.changes()) {
-      if (c instanceof Change.VolumePut v && registry.volume(v.volume().id()) != null) {
+      if (c instanceof Change.VolumePut v && v.volume().phase() != Phase.ACTIVE) {
         steps.add(step(v.volume()));
       } else if (c instanceof Change.NodePut n) {
         nodes.add(n);
--- a/src/test/java/hollyslip/admin/AdminTest.java
+++ b/src/test/java/hollyslip/admin/AdminTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -20,7 +21,9 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.KeyStore;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -364,4 +367,54 @@
     Awaitility.await().until(() -> hands.nodes.get("n0") == NodeState.DRAINING);
     assertEquals(412, ask("PATCH", "/v1/nodes/n0", "{\"state\":\"on\"}", "If-Match", "\"0\"").status);
   }
+
+  /** A key and its certificate for localhost, as two PEM files. */
+  private void pair(String name, Path cert, Path key) throws Exception {
+    Path store = dir.resolve(name + ".p12");
+    Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "keytool").toString(),
+        "-genkeypair", "-alias", "k", "-keyalg", "EC", "-dname", "CN=" + name, "-ext", "san=dns:localhost",
+        "-validity", "3650", "-storetype", "PKCS12", "-keystore", store.toString(), "-storepass", "changeit")
+        .redirectErrorStream(true).redirectOutput(dir.resolve(name + ".log").toFile()).start();
+    assertEquals(0, p.waitFor());
+    KeyStore ks = KeyStore.getInstance(store.toFile(), "changeit".toCharArray());
+    Files.writeString(key, pem("PRIVATE KEY", ks.getKey("k", "changeit".toCharArray()).getEncoded()));
+    Files.writeString(cert, pem("CERTIFICATE", ks.getCertificate("k").getEncoded()));
+  }
+
+  private static String pem(String what, byte[] bytes) {
+    return "-----BEGIN " + what + "-----\n" + Base64.getMimeEncoder(64, new byte[]{'\n'}).encodeToString(
+        bytes) + "\n-----END " + what + "-----\n";
+  }
+
+  private ApiClient over(int port, Path trusted) {
+    return ApiClient.at(port, trusted, operator);
+  }
+
+  /** New keys are used for new connections; one that stands goes on; keys that cannot be used change
+   * nothing. */
+  @Test
+  void keysAreReplacedInService() throws Exception {
+    Path cert = dir.resolve("cert.pem");
+    Path key = dir.resolve("key.pem");
+    pair("first", cert, key);
+    Path first = Files.copy(cert, dir.resolve("first.pem"));
+    try (AdminServer tls = new AdminServer(control, dir.resolve("tls.sock"), 0, cert, key);
+        ApiClient standing = over(tls.port(), first)) {
+      assertEquals(200, standing.ask("GET", "/v1/tenants", null, Map.of()).status());
+      pair("second", cert, key);
+      assertTrue(tls.reloadKeys());
+      // The pool has one connection, whose far end only knows the first key.
+      assertEquals(200, standing.ask("GET", "/v1/tenants", null, Map.of()).status());
+      try (ApiClient fresh = over(tls.port(), cert); ApiClient old = over(tls.port(), first)) {
+        assertEquals(200, fresh.ask("GET", "/v1/tenants", null, Map.of()).status());
+        assertThrows(IOException.class, () -> old.ask("GET", "/v1/tenants", null, Map.of()));
+      }
+      Path second = Files.copy(cert, dir.resolve("second.pem"));
+      Files.writeString(key, "no key");
+      assertFalse(tls.reloadKeys());
+      try (ApiClient fresh = over(tls.port(), second)) {
+        assertEquals(200, fresh.ask("GET", "/v1/tenants", null, Map.of()).status());
+      }
+    }
+  }
 }
--- a/src/test/java/hollyslip/e2e/HostedTest.java
+++ b/src/test/java/hollyslip/e2e/HostedTest.java
@@ -10,6 +10,8 @@
 import hollyslip.admin.ApiClient;
 import hollyslip.cli.Gateway;
 import hollyslip.engine.Engine;
+import hollyslip.front.sys.Linux;
+import hollyslip.front.vhost.Wire;
 import hollyslip.load.Child;
 import hollyslip.load.RingClient;
 import hollyslip.standin.Command;
@@ -96,11 +98,16 @@
           assertEquals(0, Rings.one(c, IoKind.READ, 65536 * 3 + 4096, 4096, read));
           assertArrayEquals(bytes, read);
           assertEquals(1, Rings.one(c, IoKind.READ, 1048576, 4096, read), "behind the end");
+          int[] backend = pair(c);
           JsonNode before = ask(api, "GET", "/v1/tenants/lee/volumes/v", null).body().get("shards");
           assertEquals(3, before.size(), "spread over the shards");
           ask(api, "PATCH", "/v1/tenants/lee/volumes/v", "{'bytes':2097152}");
           until(() -> g.engine().volumes().get("lee/v").bytes() == 2097152);
           until(() -> Rings.one(c, IoKind.READ, 1048576, 4096, read) == 0);
+          com.sun.jna.Memory said = new com.sun.jna.Memory(64);
+          until(() -> Linux.receive(backend[0], said, 0, 64).bytes() == Wire.HEADER);
+          assertEquals(Wire.BACKEND_CONFIG_CHANGE, said.getInt(0), "the client is told to look again, once");
+          Linux.closeAll(backend);
           assertEquals(0, Rings.one(c, IoKind.READ, 65536 * 3 + 4096, 4096, read));
           assertArrayEquals(bytes, read, "what was there stays where it was");
           // Whoever is no member any more is cut off, and cannot come back.
@@ -124,6 +131,59 @@
     }
   }
 
+  /** Gives the device one end of a connection for messages of its own; the other end, and a spare. */
+  private int[] pair(RingClient c) throws IOException {
+    Path path = dir.resolve("backend.sock");
+    int listening = Linux.listen(path);
+    int mine = Linux.connect(path);
+    int theirs = Linux.accept(listening);
+    c.send(Wire.SET_BACKEND_REQ_FD, 0, new byte[0], theirs);
+    Linux.closeAll(theirs);
+    return new int[]{mine, listening};
+  }
+
+  /** One tenant keeps sixteen times as many requests out as the other, whose weight is the same: both get
+   * what the nodes can do in about even parts, by the stand-ins' log. */
+  @Test
+  void aFloodingNeighbourGetsItsShareAndNoMore() throws Exception {
+    try (Site site = new Site(dir, 2, i -> DiskServer.Config.timed("disk-" + i, Site.SHARD_BYTES, 1, 256,
+        1_000, i))) {
+      site.hosted = true;
+      Gateway g = site.gateway("gw", 0);
+      try (ApiClient api = client("gw")) {
+        ask(api, "POST", "/v1/plans", "{'name':'gold','reserve':0,'weight':1}");
+        tenant(api, "a", "gold");
+        tenant(api, "b", "gold");
+        List<Busy> flood = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+          flood.add(new Busy(g.socket("a", "v"), 60));
+        }
+        Busy b = new Busy(g.socket("b", "v"), 30);
+        flood.forEach(Thread::start);
+        b.start();
+        until(() -> b.answered > 200);
+        long from = Engine.clock();
+        int before = b.answered;
+        until(() -> b.answered > before + 1_000);
+        long to = Engine.clock();
+        for (Busy c : flood) {
+          c.over = true;
+        }
+        b.over = true;
+        b.join(30_000);
+        for (Busy c : flood) {
+          c.join(30_000);
+        }
+        List<Volume.Extent> extents = g.engine().volumes().get("b/v").extents();
+        long[] units = new long[2];
+        site.disks.stream().flatMap(d -> d.commands().stream()).filter(c -> c.doneUs() >= from && c
+            .doneUs() <= to).forEach(c -> units[extents.contains(new Volume.Extent(Integer.parseInt(c.export()
+                .substring(6)), c.offset() / 65536 * 65536)) ? 1 : 0]++);
+        assertTrue(units[1] >= 0.4 * (units[0] + units[1]), units[1] + " beside " + units[0]);
+      }
+    }
+  }
+
   /** A client that keeps so many requests out until told to stop, then waits for all of them. */
   private static final class Busy extends Thread {
     final RingClient ring;
