--- a/src/main/java/hollyslip/door/Door.java
+++ b/src/main/java/hollyslip/door/Door.java
@@ -78,7 +78,7 @@
   private static final class Line<T> extends Flow {
     final long volume;
     final Tenant<T> tenant;
-    final ArrayDeque<Place<T>> places = new ArrayDeque<>();
+    final ArrayDeque<Place<T>> places = new ArrayDeque<>(1);
 
     Line(long number, long volume, Tenant<T> tenant) {
       super(number);
@@ -169,15 +169,59 @@
     return tenants.size() + tenants.values().stream().mapToInt(t -> t.lines.size()).sum();
   }
 
-  /** A request comes to the door. */
+  private Line<T> line(Owner owner) {
+    Tenant<T> t = tenants.get(owner.tenant());
+    if (t == null) {
+      t = new Tenant<>(flows++, owner.tenant());
+      tenants.put(owner.tenant(), t);
+    }
+    Line<T> line = t.lines.get(owner.volume());
+    if (line == null) {
+      line = new Line<>(flows++, owner.volume(), t);
+      t.lines.put(owner.volume(), line);
+    }
+    return line;
+  }
+
+  /** Lets a request straight in, if nobody waits or is told to come back and there is room; else null, and it
+   * is to {@link #enter}. */
+  public Place<T> pass(long now, T item, Owner owner, double cost) {
+    if (waiting > 0 || inside >= room || bookedUntil > now) {
+      return null;
+    }
+    Line<T> line = line(owner);
+    if (line.tenant.bookedUntil > now) {
+      forget(line);
+      return null;
+    }
+    return straight(new Place<>(item, cost, false, line), owner);
+  }
+
+  /** A request comes to the door and waits there. */
   public Place<T> enter(long now, T item, Owner owner, double cost) {
-    Tenant<T> t = tenants.computeIfAbsent(owner.tenant(), k -> new Tenant<>(flows++, k));
-    Line<T> line = t.lines.computeIfAbsent(owner.volume(), k -> new Line<>(flows++, k, t));
+    return queue(now, new Place<>(item, cost, appointments.keeps(now, owner.tenant(), owner.volume()), line(
+        owner)), owner);
+  }
+
+  private Place<T> straight(Place<T> place, Owner owner) {
+    Line<T> line = place.line;
+    Tenant<T> t = line.tenant;
+    t.weight = owner.tenantWeight();
+    line.weight = owner.volumeWeight();
+    t.tag = Math.max(t.tag, virtual);
+    line.tag = Math.max(line.tag, t.virtual);
+    place.waiting = false;
+    step(place);
+    return place;
+  }
+
+  private Place<T> queue(long now, Place<T> place, Owner owner) {
+    Line<T> line = place.line;
+    Tenant<T> t = line.tenant;
     ready.remove(t);
     t.ready.remove(line);
     t.weight = owner.tenantWeight();
     line.weight = owner.volumeWeight();
-    Place<T> place = new Place<>(item, cost, appointments.keeps(now, owner.tenant(), owner.volume()), line);
     newest = place;
     if (t.waiting == 0) {
       t.tag = Math.max(t.tag, virtual);
@@ -190,12 +234,26 @@
       rate.begin();
     }
     line.places.add(place);
-    count(line, 1, cost);
+    count(line, 1, place.cost);
     t.ready.add(line);
     ready.add(t);
     return place;
   }
 
+  /** Goes in: the tags move on. */
+  private void step(Place<T> place) {
+    Line<T> line = place.line;
+    Tenant<T> t = line.tenant;
+    virtual = t.tag;
+    t.virtual = line.tag;
+    t.tag += place.cost / t.weight;
+    line.tag += place.cost / line.weight;
+    place.inside = true;
+    inside++;
+    t.inside++;
+    line.inside++;
+  }
+
   private void count(Line<T> line, int n, double cost) {
     line.waiting += n;
     line.tenant.waiting += n;
@@ -306,18 +364,11 @@
     }
     ready.remove(t);
     t.ready.remove(line);
-    virtual = t.tag;
-    t.virtual = line.tag;
-    t.tag += place.cost / t.weight;
-    line.tag += place.cost / line.weight;
+    step(place);
     place.waiting = false;
-    place.inside = true;
     count(line, -1, -place.cost);
     t.rate.drained(place.cost, now);
     rate.drained(place.cost, now);
-    inside++;
-    t.inside++;
-    line.inside++;
     if (line.waiting > 0) {
       t.ready.add(line);
     }
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -365,7 +365,13 @@
     }
     served.held++;
     op.counted = true;
-    op.place = door.enter(now, op, served.owner, config.classifier().units(io.kind(), io.length()));
+    double units = config.classifier().units(io.kind(), io.length());
+    op.place = door.pass(now, op, served.owner, units);
+    if (op.place != null) {
+      goIn(op);
+      return;
+    }
+    op.place = door.enter(now, op, served.owner, units);
     for (Door.Turned<Operation> t = door.over(now); t != null; t = door.over(now)) {
       turnAway(t.item(), t.retryInUs());
     }
@@ -391,13 +397,16 @@
 
   private void letIn() {
     for (Door.Place<Operation> p = door.next(now); p != null; p = door.next(now)) {
-      Operation op = p.item();
-      op.letInAt = now;
-      inside.add(op);
-      begin(op);
+      goIn(p.item());
     }
   }
 
+  private void goIn(Operation op) {
+    op.letInAt = now;
+    inside.add(op);
+    begin(op);
+  }
+
   private void leaveRoom(Operation op) {
     door.left(op.place);
     if (!lettingIn) {
--- a/src/test/java/hollyslip/door/DoorTest.java
+++ b/src/test/java/hollyslip/door/DoorTest.java
@@ -88,6 +88,19 @@
     assertEquals(100, door.waiting());
   }
 
+  @Test
+  void withRoomAndNobodyWaitingARequestGoesStraightIn() {
+    Door<String> door = new Door<>(100, 2);
+    Place<String> one = door.pass(0, "one", owner("a", 1, 1), 1);
+    assertTrue(one != null && !one.waiting() && door.inside() == 1);
+    assertTrue(door.pass(0, "two", owner("a", 1, 1), 1) != null);
+    assertNull(door.pass(0, "three", owner("b", 1, 2), 1), "no room");
+    door.enter(0, "three", owner("b", 1, 2), 1);
+    door.left(one);
+    assertNull(door.pass(0, "four", owner("a", 1, 1), 1), "three waits");
+    assertEquals("three", door.next(0).item());
+  }
+
   @Test
   void whoLeavesIsNotLetInAndNothingIsKeptOfThem() {
     Door<Integer> door = new Door<>(100, 4);
