Writes are sent from a copy, so memory that is cut short ends no connection of others

A client that cut its memory short while its writes waited had the kernel turn the send down, which ended a node connection that all tenants use: an honest client beside it was refused in the first round of the test. Writes are copied into the connection's own buffer now; what is not there any more is written as zeros, never as what another write left.

--- a/src/main/java/hollyslip/engine/ClientMemory.java
+++ b/src/main/java/hollyslip/engine/ClientMemory.java
@@ -15,7 +15,7 @@
   public static boolean copy(ByteBuffer to, int at, ByteBuffer from, int position, int n) {
     try {
       to.put(at, from, position, n);
-      return !to.isDirect() || settled();
+      return !to.isDirect() && !from.isDirect() || settled();
     } catch (InternalError e) {
       return false;
     }
--- a/src/main/java/hollyslip/node/NbdConnection.java
+++ b/src/main/java/hollyslip/node/NbdConnection.java
@@ -45,6 +45,9 @@
         List<Attempt> silent);
   }
 
+  /** Bytes of writes that are sent from one buffer; more, and larger ones, get their own. */
+  private static final int STAGING = 256 << 10;
+
   private enum Stage {
     QUEUED, SENDING, SENT
   }
@@ -74,6 +77,7 @@
   private final Map<Long, Slot> flight = new HashMap<>();
   private final ByteBuffer in = ByteBuffer.allocateDirect(IN_BYTES);
   private final ByteBuffer headers = ByteBuffer.allocateDirect((BURST + 1) * HEADER);
+  private final ByteBuffer staging = ByteBuffer.allocateDirect(STAGING);
   private final long[] load = new long[Nbd.Load.values().length];
   private NbdReplies replies;
   private boolean negotiated, ready, writing, closed, probing, opened;
@@ -254,6 +258,7 @@
     List<ByteBuffer> out = new ArrayList<>();
     burst = new ArrayList<>();
     headers.clear();
+    staging.clear();
     long bytes = 0;
     int from = 0;
     if (probing && probeNs == 0) {
@@ -270,7 +275,7 @@
       if (s.attempt.kind() == IoKind.WRITE) {
         out.add(headers.slice(from, headers.position() - from));
         from = headers.position();
-        out.addAll(s.data);
+        out.add(staged(s));
         bytes += s.attempt.length();
       }
     }
@@ -280,6 +285,31 @@
     gather = out.toArray(new ByteBuffer[0]);
   }
 
+  /** A copy of what a write brings. Sent from the client's memory itself, memory that is cut short would end
+   * this connection, which others use; and what is not there must not be what a write before left here. Harm:
+   * a copy a write. */
+  private ByteBuffer staged(Slot s) {
+    int length = (int) s.attempt.length();
+    ByteBuffer to = staging.remaining() >= length
+        ? staging.slice(staging.position(), length)
+        : ByteBuffer.allocate(length);
+    if (staging.remaining() >= length) {
+      staging.position(staging.position() + length);
+    }
+    int at = 0;
+    boolean whole = true;
+    for (ByteBuffer b : s.data) {
+      whole &= ClientMemory.copy(to, at, b, b.position(), b.remaining());
+      at += b.remaining();
+    }
+    if (!whole) {
+      for (int i = 0; i < length; i++) {
+        to.put(i, (byte) 0);
+      }
+    }
+    return to;
+  }
+
   private void header(int commandFlags, int command, long cookie, long offset, int length) {
     headers.putInt(Nbd.REQUEST).putShort((short) commandFlags).putShort((short) command).putLong(cookie)
         .putLong(offset).putInt(length);
--- a/src/test/java/hollyslip/e2e/HostileClientTest.java
+++ b/src/test/java/hollyslip/e2e/HostileClientTest.java
@@ -208,6 +208,41 @@
     }
   }
 
+  /** Writes that wait until their client's memory is gone: the connections to the node, which others use too,
+   * go on, and no bytes of anybody else are written in their place. */
+  @Test
+  void writesFromMemoryThatIsGoneHarmNobodyElse() throws IOException {
+    byte[] secret = new byte[4096];
+    java.util.Arrays.fill(secret, (byte) 99);
+    for (int round = 0; round < 5; round++) {
+      assertEquals(0, Rings.one(honest, IoKind.WRITE, 0, 4096, secret));
+      long before = gateway.engine().totals().attempts();
+      try (RingClient c = direct()) {
+        c.connect(gateway.socket("stock"));
+        site.disks.get(0).stall(50_000);
+        for (int i = 0; i < 5; i++) {
+          assertTrue(c.submit(0, IoKind.WRITE, i * 4096L, 4096, java.nio.ByteBuffer.allocate(4096), (s, r,
+              d) -> {}));
+        }
+        // The rest come when the first are sent, and are sent when those are answered.
+        c.kick();
+        until(() -> gateway.engine().totals().attempts() > before);
+        Linux.truncate(c.memoryFd(), 0);
+        byte[] bytes = new byte[4096];
+        for (int i = 0; i < 8; i++) {
+          assertEquals(0, Rings.one(honest, IoKind.READ, 0, 4096, bytes), "round " + round);
+        }
+        assertEquals(99, bytes[0]);
+      }
+    }
+    assertTrue(site.disks.get(0).commands().stream().map(hollyslip.standin.Command::connection).distinct()
+        .count() <= 2, "no connection had to be made again");
+    byte[] theirs = site.disks.get(0).read("shard-0", 0, 5 * 4096);
+    for (byte b : theirs) {
+      assertEquals(0, b, "bytes of another client");
+    }
+  }
+
   private static int kickOf(RingClient c) {
     return c.kickFd(0);
   }
