Vhost-user messages and descriptor tables out of nothing, by jqwik

The noise of messages and rings was seeded loops only; properties shrink what they find. 150 tries against one gateway, each followed by an honest client; mappings and devices are counted.

--- /dev/null
+++ b/src/test/java/hollyslip/e2e/RingNoiseTest.java
@@ -0,0 +1,87 @@
+package hollyslip.e2e;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import hollyslip.cli.Gateway;
+import hollyslip.front.sys.Linux;
+import hollyslip.load.RingClient;
+import hollyslip.volume.IoKind;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.awaitility.Awaitility;
+
+/** Messages and rings out of nothing: whatever they are, the next client is served and nothing leaks. */
+class RingNoiseTest {
+  private static Site site;
+  private static Gateway gateway;
+
+  /** A message; {@code fds}: how often the memory's descriptor comes along. */
+  record Message(int request, int flags, byte[] payload, int fds) {}
+
+  @BeforeContainer
+  static void start() throws IOException {
+    Path dir = Files.createTempDirectory("hollyslip-noise-");
+    site = new Site(dir, 1);
+    gateway = site.gateway();
+  }
+
+  @AfterContainer
+  static void stop() {
+    site.close();
+  }
+
+  @Provide
+  Arbitrary<List<Message>> messages() {
+    return Combinators.combine(Arbitraries.integers().between(0, 42), Arbitraries.integers().between(0, 15),
+        Arbitraries.bytes().array(byte[].class).ofMaxSize(64), Arbitraries.integers().between(0, 2)).as(
+            Message::new).list().ofMaxSize(8);
+  }
+
+  /** Words of a descriptor table: addresses near the memory or anywhere, lengths and flags. */
+  @Provide
+  Arbitrary<List<Long>> words() {
+    return Arbitraries.oneOf(Arbitraries.longs(), Arbitraries.longs().between(0x1000_0000L, 0x1001_0000L),
+        Arbitraries.longs().between(0, 8_192)).list().ofSize(32);
+  }
+
+  @Property(tries = 150, seed = "42", edgeCases = EdgeCasesMode.NONE)
+  void noiseHarmsNobody(@ForAll("messages") List<Message> messages, @ForAll("words") List<Long> words)
+      throws IOException {
+    int mappings = Linux.mappings();
+    try (RingClient c = new RingClient(new RingClient.Options(1, 16, 4096, false, true, true, true))) {
+      c.connect(gateway.socket("stock"));
+      for (int i = 0; i < words.size(); i++) {
+        c.queue(0).table.putLong(8 * i, words.get(i));
+      }
+      c.publish(c.queue(0), (int) (words.get(0) & 15));
+      c.kick();
+      for (Message m : messages) {
+        int[] fds = new int[m.fds];
+        java.util.Arrays.fill(fds, c.memoryFd());
+        c.send(m.request, m.flags, m.payload, fds);
+      }
+    } catch (IOException e) {
+      // The device has stopped before all was sent: that is what it is for.
+    }
+    Awaitility.await().atMost(20, TimeUnit.SECONDS).pollInterval(1, TimeUnit.MILLISECONDS).until(() -> gateway
+        .devices("stock") == 0 && Linux.mappings() <= mappings);
+    try (RingClient honest = new RingClient(RingClient.Options.usual(1, 16, 4096))) {
+      honest.connect(gateway.socket("orders"));
+      assertEquals(0, Rings.one(honest, IoKind.READ, 0, 4096, new byte[4096]));
+    }
+    Awaitility.await().atMost(20, TimeUnit.SECONDS).pollInterval(1, TimeUnit.MILLISECONDS).until(() -> gateway
+        .devices("orders") == 0);
+  }
+}
