--- a/src/main/java/hollyslip/node/NbdConnection.java
+++ b/src/main/java/hollyslip/node/NbdConnection.java
@@ -140,28 +140,21 @@
     return true;
   }
 
-  /** Gives an attempt up: nothing touches its data after this call. One whose payload is only half out takes
-   * the connection with it, so that the node never sees bytes that the client did not mean. */
-  Withdrawn withdraw(Attempt attempt) {
-    boolean cut;
-    synchronized (this) {
-      Slot slot = (Slot) attempt.handle;
-      if (slot.detached || closed) {
-        return Withdrawn.ENDED;
-      }
-      if (slot.stage == Stage.QUEUED) {
-        queue.remove(slot);
-        return Withdrawn.NEVER_SENT;
-      }
-      if (flight.get(slot.cookie) != slot) {
-        return Withdrawn.ENDED;
-      }
-      slot.detached = true;
-      cut = slot.stage == Stage.SENDING && attempt.kind() == IoKind.WRITE;
+  /** Gives an attempt up: nothing touches its data after this call. A write that is being sent goes on from
+   * its copy: others' requests are on this connection too. */
+  synchronized Withdrawn withdraw(Attempt attempt) {
+    Slot slot = (Slot) attempt.handle;
+    if (slot.detached || closed) {
+      return Withdrawn.ENDED;
+    }
+    if (slot.stage == Stage.QUEUED) {
+      queue.remove(slot);
+      return Withdrawn.NEVER_SENT;
     }
-    if (cut) {
-      close("a write given up while it was being sent");
+    if (flight.get(slot.cookie) != slot) {
+      return Withdrawn.ENDED;
     }
+    slot.detached = true;
     return Withdrawn.MAY_RUN;
   }
 
