What a record asked for and could not be begun is logged, not swallowed

Cause: reading the change again, the future on which Control carries out a record was watched by nobody, so an exception there (a carrier, a listener) vanished and a volume would have stayed in its phase with no word in the log. Result: 18 tests of the API and the door pass; no test brings the fault about.

--- a/src/main/java/hollyslip/admin/Control.java
+++ b/src/main/java/hollyslip/admin/Control.java
@@ -185,6 +185,11 @@
       }
     }
     CompletableFuture<Void> carried = new CompletableFuture<>();
+    carried.exceptionally(e -> {
+      // What could not be begun is not tried again before the next start; it must not pass unseen.
+      LOG.atError().setCause(e).addKeyValue("target", entry.target()).log("volume.fault");
+      return null;
+    });
     write.thenRun(() -> run(carried, () -> {
       steps.forEach(this::carry);
       nodes.forEach(n -> carrier.node(n.node(), n.state()));
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -279,11 +279,6 @@
     return volumes;
   }
 
-  /** Requests at the door. Engine's thread. */
-  public int atDoor() {
-    return door.waiting();
-  }
-
   /** Takes nothing more, answers all it holds, then ends. From any thread; calls again change nothing. */
   public CompletableFuture<Void> stop() {
     mailbox.put(() -> stopping = true);
