--- a/src/main/java/hollyslip/front/sys/Linux.java
+++ b/src/main/java/hollyslip/front/sys/Linux.java
@@ -4,9 +4,11 @@
 import com.sun.jna.Native;
 import com.sun.jna.Pointer;
 import java.io.IOException;
+import java.lang.ref.Cleaner;
 import java.lang.ref.Reference;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
+import java.nio.file.LinkOption;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -26,6 +28,7 @@
   private static final int EFD_NONBLOCK = 0x800, EFD_CLOEXEC = 0x80000, MFD_CLOEXEC = 1;
   private static final int F_GETFL = 3, F_SETFL = 4, O_NONBLOCK = 0x800;
   private static final int PROT_RW = 3, MAP_SHARED = 1, SEEK_END = 2;
+  private static final int MAP_PRIVATE = 2, MAP_FIXED = 0x10, MAP_ANONYMOUS = 0x20, MAP_NORESERVE = 0x4000;
   private static final int EINTR = 4, EAGAIN = 11;
   private static final int SUN_PATH = 108;
 
@@ -100,9 +103,15 @@
     return m;
   }
 
-  /** A listening Unix socket at a path; a file left there is replaced. */
+  /** A listening Unix socket at a path. A file that a dead process left there is replaced, one at which
+   * somebody listens is not: taking it would cut that process off from its clients without a word. */
   public static int listen(Path path) throws IOException {
-    Files.deleteIfExists(path);
+    if (Files.exists(path, LinkOption.NOFOLLOW_LINKS)) {
+      if (listened(path)) {
+        throw new IOException("another process listens at " + path);
+      }
+      Files.delete(path);
+    }
     int fd = check(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0), "socket");
     try {
       Memory a = address(path);
@@ -115,6 +124,15 @@
     }
   }
 
+  private static boolean listened(Path path) {
+    try {
+      closeAll(connect(path));
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Takes the next connection of a listening socket; waits. */
   public static int accept(int fd) throws IOException {
     return check(accept4(fd, null, null, SOCK_CLOEXEC), "accept");
@@ -273,34 +291,64 @@
     return n;
   }
 
-  /** Memory shared with another process. */
+  /** Shared memory. No view of it can be used after its end in a way that harms: {@link #unmap} puts empty
+   * memory in its place, in one step of the kernel, and the addresses are given back only once no view is
+   * reachable any more. It guards against a SIGSEGV, the end of the whole process, from a thread that still
+   * looks at a ring while another closes it. Harm: addresses (no memory but for what is touched after the
+   * end) stay taken until the next garbage collection. */
   public static final class Mapping {
+    /** Longest view, bytes. */
+    public static final int MOST_VIEW = 1 << 30;
+
+    private static final Cleaner CLEANER = Cleaner.create();
+
     private final Pointer base;
     private final long length;
+    /** Views are slices of these, which they keep reachable: each is two views long, so any view fits one. */
+    private final ByteBuffer[] windows;
     private boolean mapped = true;
 
     private Mapping(Pointer base, long length) {
       this.base = base;
       this.length = length;
+      windows = new ByteBuffer[(int) Math.max(1, (length + MOST_VIEW - 1) / MOST_VIEW)];
+      Runnable gone = new Unused(base, length, new AtomicInteger(windows.length));
+      for (int i = 0; i < windows.length; i++) {
+        long from = (long) i * MOST_VIEW;
+        windows[i] = base.getByteBuffer(from, Math.min(length - from, Integer.MAX_VALUE));
+        CLEANER.register(windows[i], gone);
+      }
     }
 
-    /** A view of a part; using it after {@link #unmap} ends the process, so whoever unmaps must know that
-     * none is left in use. */
+    /** A view of a part of at most {@link #MOST_VIEW} bytes. After {@link #unmap} it reads as zeros, and what
+     * is written to it reaches nobody. */
     public ByteBuffer view(long at, long size) {
-      if (at < 0 || size < 0 || at > length - size || size > Integer.MAX_VALUE) {
+      if (at < 0 || size < 0 || at > length - size || size > MOST_VIEW) {
         throw new IndexOutOfBoundsException(at + "+" + size + " of " + length);
       }
-      return base.getByteBuffer(at, size);
+      int window = (int) Math.min(at / MOST_VIEW, windows.length - 1);
+      return windows[window].slice((int) (at - (long) window * MOST_VIEW), (int) size);
     }
 
-    /** Ends it; again does nothing. */
+    /** Ends it; again does nothing. Where the kernel has no room for empty memory the shared one stays until
+     * no view is left. */
     public synchronized void unmap() {
       if (mapped) {
         mapped = false;
-        munmap(base, length);
+        mmap(base, length, PROT_RW, MAP_PRIVATE | MAP_FIXED | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
         MAPPINGS.decrementAndGet();
       }
     }
+
+    /** Gives the addresses back when the last window is unreachable. */
+    private record Unused(Pointer base, long length, AtomicInteger windows) implements Runnable {
+      @Override
+      public void run() {
+        if (windows.decrementAndGet() == 0) {
+          munmap(base, length);
+        }
+      }
+    }
   }
 
   private static final AtomicInteger MAPPINGS = new AtomicInteger();
--- a/src/main/java/hollyslip/front/vhost/GuestMemory.java
+++ b/src/main/java/hollyslip/front/vhost/GuestMemory.java
@@ -22,14 +22,11 @@
     return t;
   });
 
-  private static final int WHOLE_VIEW = Integer.MAX_VALUE;
-
   /** One region, by the addresses of the message "memory region description". */
   static final class Region {
     final long guest, size, user;
     private final long shift;
     private final Linux.Mapping mapping;
-    private final ByteBuffer whole;
     private final AtomicInteger holders = new AtomicInteger(1);
 
     private Region(long guest, long size, long user, long offset, Linux.Mapping mapping) {
@@ -38,12 +35,10 @@
       this.user = user;
       this.shift = offset;
       this.mapping = mapping;
-      whole = size <= WHOLE_VIEW ? mapping.view(offset, size) : null;
     }
 
     ByteBuffer view(long at, int length) {
-      ByteBuffer b = whole != null ? whole.slice((int) at, length) : mapping.view(shift + at, length);
-      return b.order(ByteOrder.LITTLE_ENDIAN);
+      return mapping.view(shift + at, length).order(ByteOrder.LITTLE_ENDIAN);
     }
 
     void hold() {
@@ -111,7 +106,7 @@
     long left = length;
     while (left > 0) {
       Region r = find(at);
-      int n = (int) Math.min(left, r.size - (at - r.guest));
+      int n = (int) Math.min(Math.min(left, Linux.Mapping.MOST_VIEW), r.size - (at - r.guest));
       to.add(r.view(at - r.guest, n));
       if (!held.contains(r)) {
         held.add(r);
