Figures of the API and command line are plain: whole bytes, units for people

Cause: a quota was refused with "may have 1.073741824E9 and has 1048576.0". Change: refusals, views and figures write whole numbers as such, texts without exponents, bytes as KiB, MiB or GiB; the tables of the command line too. Quotas of bytes and counts are no longer rounded (reserves are, by 1e-9).

--- a/src/main/java/hollyslip/admin/Views.java
+++ b/src/main/java/hollyslip/admin/Views.java
@@ -3,9 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.NumericNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import hollyslip.tenant.Change;
 import hollyslip.tenant.HostedVolume;
+import hollyslip.tenant.Plain;
 import hollyslip.tenant.Plan;
 import hollyslip.tenant.Registry;
 import hollyslip.tenant.Tenant;
@@ -20,7 +23,16 @@
 /** The API's JSON forms of what is recorded, and back: of each the part that administrators may change is
  * read back from a form with a patch laid over it. */
 final class Views {
-  static final ObjectMapper JSON = new ObjectMapper();
+  /** Whole figures are written as such, also where the code has a double: never 1.0E7. */
+  static final ObjectMapper JSON = new ObjectMapper().setNodeFactory(new JsonNodeFactory() {
+    private static final long serialVersionUID = 1;
+
+    @Override
+    public NumericNode numberNode(double figure) {
+      Number plain = Plain.number(figure);
+      return plain instanceof Long whole ? super.numberNode(whole.longValue()) : super.numberNode(figure);
+    }
+  });
   private static final Set<String> TERMS = Set.of("rate", "reserve", "weight", "price", "limit",
       "limit_burst", "limit_slack");
 
--- a/src/main/java/hollyslip/cli/AdminCommand.java
+++ b/src/main/java/hollyslip/cli/AdminCommand.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import hollyslip.admin.ApiClient;
+import hollyslip.tenant.Plain;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -152,7 +153,8 @@
     for (JsonNode item : items) {
       String[] row = new String[heads.length];
       for (int i = 0; i < row.length; i++) {
-        row[i] = item.at("/" + heads[i].replace('.', '/')).asText();
+        JsonNode n = item.at("/" + heads[i].replace('.', '/'));
+        row[i] = heads[i].endsWith("bytes") && n.isIntegralNumber() ? Plain.bytes(n.asLong()) : n.asText();
       }
       rows.add(row);
     }
--- a/src/main/java/hollyslip/tenant/Placement.java
+++ b/src/main/java/hollyslip/tenant/Placement.java
@@ -76,8 +76,8 @@
     double free = ledger.accounts().stream().mapToDouble(Ledger.Account::free).sum();
     long freeBytes = ledger.accounts().stream().mapToLong(Ledger.Account::freeBytes).sum();
     return new Refusal(Refusal.Kind.NO_ROOM, "bytes", "of " + count + " extents of " + size + " bytes with "
-        + each + " units a second each, " + fitted + " fit on the shards", Map.of("extents", count,
-            "would_fit_extents", fitted, "would_fit_bytes", fitted * size, "free_reserve", free, "free_bytes",
-            freeBytes));
+        + Plain.text(each) + " units a second each, " + fitted + " fit on the shards", Map.of("extents",
+            count, "would_fit_extents", fitted, "would_fit_bytes", fitted * size, "free_reserve", free,
+            "free_bytes", freeBytes));
   }
 }
--- a/src/main/java/hollyslip/tenant/Refusal.java
+++ b/src/main/java/hollyslip/tenant/Refusal.java
@@ -1,5 +1,6 @@
 package hollyslip.tenant;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /** A command that cannot be carried out: nothing has changed. */
@@ -30,7 +31,9 @@
     super(what, null, false, false);
     this.kind = kind;
     this.field = field;
-    this.figures = Map.copyOf(figures);
+    Map<String, Object> plain = new HashMap<>();
+    figures.forEach((name, figure) -> plain.put(name, figure instanceof Double d ? Plain.number(d) : figure));
+    this.figures = Map.copyOf(plain);
   }
 
   static Refusal invalid(String field, String what) {
--- a/src/main/java/hollyslip/tenant/Registrar.java
+++ b/src/main/java/hollyslip/tenant/Registrar.java
@@ -185,9 +185,10 @@
     double others = registry.quotaSum() - before;
     double capacity = registry.ledger().capacity();
     if (others + wish.quota().reserve() > capacity * (1 + ROUNDING)) {
-      throw new Refusal(Refusal.Kind.NO_ROOM, "quota.reserve", "the fleet can promise " + capacity
-          + " units a second, of which other tenants have " + others, Map.of("capacity", capacity, "others",
-              others, "asked", wish.quota().reserve(), "would_fit", Math.max(0, capacity - others)));
+      throw new Refusal(Refusal.Kind.NO_ROOM, "quota.reserve", "the fleet can promise " + Plain.text(capacity)
+          + " units a second, of which other tenants have " + Plain.text(others), Map.of("capacity", capacity,
+              "others", others, "asked", wish.quota().reserve(), "would_fit", Math.max(0, capacity
+                  - others)));
     }
     return wish.quota();
   }
@@ -227,9 +228,9 @@
   }
 
   private static void within(double used, double bound, String field, String what) {
-    if (used > bound * (1 + ROUNDING)) {
-      throw new Refusal(Refusal.Kind.NO_ROOM, field, field + " " + bound + " is below the " + what + ", "
-          + used, Map.of("used", used, "asked", bound));
+    if (used > bound * (1 + rounding(field))) {
+      throw new Refusal(Refusal.Kind.NO_ROOM, field, field + " " + text(field, bound) + " is below the "
+          + what + ", " + text(field, used), Map.of("used", used, "asked", bound));
     }
   }
 
@@ -350,10 +351,20 @@
     room(t, "quota.bytes", registry.bytes(t.id()), bytes, t.quota().bytes());
   }
 
+  /** Bytes and counts are whole: they are not rounded. */
+  private static double rounding(String field) {
+    return field.endsWith("reserve") ? ROUNDING : 0;
+  }
+
+  private static String text(String field, double figure) {
+    return field.endsWith("bytes") ? Plain.bytes((long) figure) : Plain.text(figure);
+  }
+
   private static void room(Tenant t, String field, double used, double more, double most) {
-    if (more > 0 && used + more > most * (1 + ROUNDING)) {
-      throw new Refusal(Refusal.Kind.NO_ROOM, field, "tenant " + t.name() + " may have " + most + " and has "
-          + used, Map.of("quota", most, "used", used, "asked", more, "would_fit", Math.max(0, most - used)));
+    if (more > 0 && used + more > most * (1 + rounding(field))) {
+      throw new Refusal(Refusal.Kind.NO_ROOM, field, "tenant " + t.name() + " may have " + text(field, most)
+          + " and has " + text(field, used) + ", " + text(field, more) + " more are asked", Map.of("quota",
+              most, "used", used, "asked", more, "would_fit", Math.max(0, most - used)));
     }
   }
 
@@ -374,10 +385,11 @@
         Ledger.Account a = registry.ledger().account(shard);
         double free = a == null ? 0 : a.free();
         if (more > ROUNDING && more > free * (1 + ROUNDING) + ROUNDING) {
-          throw new Refusal(Refusal.Kind.NO_ROOM, "reserve", "shard " + shard + " has " + free
-              + " units a second left, " + more + " more are asked of it", Map.of("shard", shard, "capacity",
-                  a == null ? 0.0 : a.shard.capacity(), "reserved", a == null ? 0.0 : a.reserved(), "asked",
-                  more, "would_fit", Math.max(0, asked * free / more)));
+          throw new Refusal(Refusal.Kind.NO_ROOM, "reserve", "shard " + shard + " has " + Plain.text(free)
+              + " units a second left, " + Plain.text(more) + " more are asked of it", Map.of("shard", shard,
+                  "capacity", a == null ? 0.0 : a.shard.capacity(), "reserved", a == null
+                      ? 0.0
+                      : a.reserved(), "asked", more, "would_fit", Math.max(0, asked * free / more)));
         }
       });
     }
--- a/src/main/java/hollyslip/tenant/Terms.java
+++ b/src/main/java/hollyslip/tenant/Terms.java
@@ -44,7 +44,8 @@
 
   static void within(double value, double least, String field) {
     if (!(value >= least && value <= MOST)) {
-      throw Refusal.invalid(field, field + " must be from " + least + " to " + MOST + ", not " + value);
+      throw Refusal.invalid(field, field + " must be from " + Plain.text(least) + " to " + Plain.text(MOST)
+          + ", not " + Plain.text(value));
     }
   }
 
--- a/src/test/java/hollyslip/admin/AdminTest.java
+++ b/src/test/java/hollyslip/admin/AdminTest.java
@@ -11,6 +11,7 @@
 import hollyslip.HostScheduler.VolumeChanged;
 import hollyslip.store.Folder;
 import hollyslip.tenant.HostedVolume;
+import hollyslip.tenant.Plain;
 import hollyslip.tenant.Shard;
 import hollyslip.tenant.Tenant;
 import java.io.IOException;
@@ -231,6 +232,24 @@
     assertEquals(0, shard.body.at("/figures/would_fit_extents").asInt());
   }
 
+  /** Figures came as 1.073741824E9 and 1048576.0. */
+  @Test
+  void figuresArePlainAndBytesWholeWithAUnit() {
+    made("/v1/plans", PLAN);
+    made("/v1/tenants", "{\"name\":\"lee\",\"quota\":{\"reserve\":500,\"bytes\":1073741824}}");
+    Got g = ask("POST", "/v1/tenants/lee/volumes",
+        "{\"name\":\"big\",\"plan\":\"gold\",\"bytes\":1073742336,\"extent_bytes\":1073742336}");
+    assertEquals(409, g.status, () -> g.body.toString());
+    assertEquals("tenant lee may have 1 GiB and has 0 bytes, 1 GiB more are asked", g.body.get("detail")
+        .asText());
+    assertEquals("1073741824", g.body.at("/figures/quota").toString());
+    assertEquals("1073741824", g.body.at("/figures/would_fit").toString());
+    Got plan = ask("GET", "/v1/plans/gold", null);
+    assertEquals("100", plan.body.get("reserve").toString());
+    assertEquals("1.5 KiB", Plain.bytes(1536));
+    assertEquals("10000000.125", Plain.text(10_000_000.1251));
+  }
+
   /** Whatever is another tenant's, or an operator's, is not there for a tenant's token. */
   @Test
   void aTenantsTokenOpensNothingElse() {
