Ready means that the volumes of the store listen; a listened-to socket is never taken

Cause: on a fresh clone HostedTest failed after a kill: connection refused at a hosted volume's socket. Control.start served the volumes of the store later than `ready` was printed; sockets were made on the engine's thread. Change: start is complete when each volume was tried, and the gateway waits for it; what fails is logged and tried again. Sockets are made on a thread of their own. A file left by a dead process is replaced, one at which somebody listens is not: it was deleted from under that process.

--- a/src/main/java/hollyslip/admin/Control.java
+++ b/src/main/java/hollyslip/admin/Control.java
@@ -96,12 +96,18 @@
     }
   }
 
-  /** Carries out all that is recorded. */
-  public void start() {
-    thread.execute(() -> {
+  /** Carries out all that is recorded; complete when each volume was served, or it was logged why it is not
+   * yet: it is tried again then. */
+  public CompletableFuture<Void> start() {
+    CompletableFuture<Void> tried = new CompletableFuture<>();
+    run(tried, () -> {
       registry.nodes().forEach(n -> carrier.node(n.node(), n.state()));
-      registry.volumes().stream().sorted((a, b) -> Long.compare(a.id(), b.id())).forEach(v -> carry(step(v)));
+      List<CompletableFuture<Void>> all = new ArrayList<>();
+      registry.volumes().stream().sorted((a, b) -> Long.compare(a.id(), b.id())).forEach(v -> all.add(carry(
+          step(v)).exceptionally(e -> null)));
+      CompletableFuture.allOf(all.toArray(new CompletableFuture<?>[0])).thenRun(() -> tried.complete(null));
     });
+    return tried;
   }
 
   private Step step(HostedVolume v) {
@@ -220,17 +226,16 @@
     return done;
   }
 
-  private void carry(Step s) {
+  private CompletableFuture<Void> carry(Step s) {
     HostedVolume v = s.volume;
-    if (v.phase() == Phase.DRAINING) {
-      whenDone(carrier.drain(v, s.tenant), s, (r, at) -> r.drained(at, v.id()));
-    } else {
-      whenDone(carrier.serve(v, s.tenant, s.terms), s, (r, at) -> r.settled(at, v));
-    }
+    return v.phase() == Phase.DRAINING
+        ? whenDone(carrier.drain(v, s.tenant), s, (r, at) -> r.drained(at, v.id()))
+        : whenDone(carrier.serve(v, s.tenant, s.terms), s, (r, at) -> r.settled(at, v));
   }
 
-  private void whenDone(CompletableFuture<Void> done, Step s, BiFunction<Registrar, Long, Entry> then) {
-    done.whenComplete((ok, error) -> {
+  private CompletableFuture<Void> whenDone(CompletableFuture<Void> done, Step s,
+      BiFunction<Registrar, Long, Entry> then) {
+    return done.whenComplete((ok, error) -> {
       if (closing) {
         return;
       }
--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -57,7 +57,8 @@
   /** Ids of hosted tenants and volumes begin here; those of the settings' volumes are below. */
   private static final long FIRST_ID = 1 << 20;
 
-  /** Builds and starts it; sockets listen when this returns. */
+  /** Builds and starts it; when this returns the sockets of all volumes listen, those of the settings and of
+   * the store, or it was logged of a volume of the store why its one does not. */
   public Gateway(Deployment deployment) throws IOException {
     this.deployment = deployment;
     nodes = deployment.nodes();
@@ -88,7 +89,7 @@
             hosted, System::currentTimeMillis);
     admin = control == null ? null : admin(p);
     if (control != null) {
-      control.start();
+      control.start().join();
     }
     LOG.atInfo().addKeyValue("name", p.name()).addKeyValue("epoch", epoch).addKeyValue("volumes", deployment
         .volumes().size()).addKeyValue("nodes", deployment.nodes().size()).log("gateway.started");
--- a/src/main/java/hollyslip/cli/HostedVolumes.java
+++ b/src/main/java/hollyslip/cli/HostedVolumes.java
@@ -17,6 +17,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.function.BiConsumer;
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
@@ -34,6 +36,13 @@
   private final BiConsumer<String, NodeState> nodeState;
   private final Supplier<Map<String, NodeView>> nodes;
   private final Map<Long, VhostServer> fronts = new ConcurrentHashMap<>();
+  /** Sockets are made and removed here, in the order of the engine's word: files may be slow, and the
+   * engine's thread must not wait for them. */
+  private final ExecutorService opener = Executors.newSingleThreadExecutor(r -> {
+    Thread t = new Thread(r, "sockets");
+    t.setDaemon(true);
+    return t;
+  });
 
   HostedVolumes(Engine engine, Acceptor acceptor, Path sockets, int hosts,
       BiConsumer<String, NodeState> nodeState, Supplier<Map<String, NodeView>> nodes) {
@@ -66,7 +75,7 @@
   @Override
   public CompletableFuture<Void> serve(HostedVolume v, Tenant t, VolumeChanged terms) {
     Volume volume = volume(v, t);
-    return engine.serve(volume, terms).thenRun(() -> {
+    return engine.serve(volume, terms).thenRunAsync(() -> {
       VhostServer front = fronts.get(v.id());
       if (front == null) {
         open(v, t);
@@ -74,7 +83,7 @@
         front.members(members(t));
         front.resized(volume);
       }
-    });
+    }, opener);
   }
 
   private void open(HostedVolume v, Tenant t) {
@@ -92,13 +101,13 @@
 
   @Override
   public CompletableFuture<Void> drain(HostedVolume v, Tenant t) {
-    return engine.drain(volume(v, t)).thenRun(() -> {
+    return engine.drain(volume(v, t)).thenRunAsync(() -> {
       VhostServer front = fronts.remove(v.id());
       if (front != null) {
         front.retire();
       }
       LOG.atInfo().addKeyValue("volume", name(v, t)).addKeyValue("tenant", t.name()).log("volume.gone");
-    });
+    }, opener);
   }
 
   @Override
@@ -112,6 +121,7 @@
   }
 
   void close() {
+    opener.shutdown();
     fronts.values().forEach(VhostServer::close);
   }
 }
--- a/src/test/java/hollyslip/e2e/HostedTest.java
+++ b/src/test/java/hollyslip/e2e/HostedTest.java
@@ -366,6 +366,45 @@
     }
   }
 
+  /** A gateway said that it was ready while sockets of the store's volumes did not listen yet; a file that a
+   * dead one left must not be in the way, and one at which somebody listens must not be taken. */
+  @Test
+  void readyMeansThatTheVolumesOfTheStoreListen() throws Exception {
+    int volumes = 60;
+    try (Site site = new Site(dir, 2)) {
+      site.hosted = true;
+      Gateway first = site.gateway("gw", 0);
+      try (ApiClient api = client("gw")) {
+        ask(api, "POST", "/v1/plans", "{'name':'gold','reserve':1,'weight':1}");
+        ask(api, "POST", "/v1/tenants",
+            "{'name':'lee','quota':{'reserve':1000,'bytes':8388608},'members':{'me':" + me() + "}}");
+        for (int i = 0; i < volumes; i++) {
+          ask(api, "POST", "/v1/tenants/lee/volumes", "{'name':'v" + i
+              + "','plan':'gold','bytes':65536,'extent_bytes':65536}");
+        }
+      }
+      assertTrue(first.close());
+      Linux.closeAll(Linux.listen(first.socket("lee", "v0")));
+      int taken = Linux.listen(first.socket("lee", "v1"));
+      Gateway again = site.gateway("gw", 0);
+      for (int i = 0; i < volumes; i++) {
+        if (i != 1) {
+          ring(again.socket("lee", "v" + i)).close();
+        }
+      }
+      assertTrue(Files.exists(again.socket("lee", "v1")), "another's socket is left alone");
+      Linux.closeAll(taken);
+      byte[] read = new byte[4096];
+      until(() -> {
+        try (RingClient c = ring(again.socket("lee", "v1"))) {
+          return Rings.one(c, IoKind.READ, 0, 4096, read) == 0;
+        } catch (IOException e) {
+          return false;
+        }
+      });
+    }
+  }
+
   /** By how many units the worst span passes a rate and burst; 0 or less: none does. */
   private static double most(long[] at, long from, long to, double rate, double burst) {
     double level = 0;
