--- a/src/main/java/hollyslip/WireHost.java
+++ b/src/main/java/hollyslip/WireHost.java
@@ -157,8 +157,9 @@
       case "PEERS_KNOWN" -> members(m);
       case "INGRESS" -> new HostScheduler.Request(number(m, "opId"), need(m, "type").asText(), need(m, "plan")
           .asText(), given(m, "blockKey") ? m.get("blockKey").asLong() : null, m.path("storeUser").asLong(), m
-              .path("sizeUnits").asDouble(1), m.path("liesIn").asInt(-1), m.path("nHosts").asInt(), micros(
-                  need(m, "remaining")), m.path("againByClient").asBoolean());
+              .path("sizeUnits")
+              .asDouble(1), m.path("liesIn").asInt(-1), m.path("nHosts").asInt(), micros(need(m,
+                  "remaining")), m.path("againByClient").asBoolean());
       case "REMINDER" -> new HostScheduler.TimerDue(number(m, "name"));
       case "ABANDONED" -> new HostScheduler.Departed(number(m, "opId"));
       case "ECHO" -> new HostScheduler.Probed(number(m, "server"), result(need(m, "code").asText()), micros(
@@ -232,25 +233,27 @@
     List<String> fields = new ArrayList<>();
     c.path("stats").path("names").forEach(f -> fields.add(neutralField(f.asText())));
     return new HostScheduler.Settings(seed, c.path("myNumber").asInt(), c.path("balancers").asInt(1), c.path(
-        "az").asText(""), Math.max(1, micros(c.path("tick"))), c.path("discovery").asText().equals(
-            "on_request"), classes, plans, new HostScheduler.Rules(micros(r.path("graceToAnswer")), micros(r
-                .path("drainGrace")), r.path("coldFrom").asDouble(1), micros(r.path("cold")), r.path(
+        "az").asText(""), Math.max(1, micros(c.path("tick"))), c.path("discovery")
+            .asText()
+            .equals("on_request"), classes, plans, new HostScheduler.Rules(micros(r.path("graceToAnswer")),
+                micros(r.path("drainGrace")), r.path("coldFrom").asDouble(1), micros(r.path("cold")), r.path(
                     "fallMultiple").asDouble(), micros(r.path("fall")), micros(r.path("settleAfterDoubt")), r
-                        .path("furtherRatio").asDouble(), r.path("budgetFree").asDouble(), micros(r.path(
-                            "resendSpan")), micros(r.path("askWithin"))), new HostScheduler.Allowed(a.path(
-                                "maxAttempts").asInt(1), a.path("probes").asBoolean(), a.path("cancel")
-                                    .asBoolean(), a.path("secondCopies").asBoolean(), a.path("retryAfter")
-                                        .asBoolean(), micros(a.path("maxRetryAfter")), micros(a.path(
-                                            "dialTimeout"))), new HostScheduler.Store(x.path("unitMean")
-                                                .asDouble(1), x.path("mostUnits").asInt(1), x.path(
-                                                    "coldBears").asDouble(), x.path("fairWorth").asDouble(), x
-                                                        .path("idleWorth").asDouble(), micros(x.path(
-                                                            "meter")), x.path("tellsElsewhere").asBoolean()),
-        switch (c.path("stats").path("how").asText()) {
-          case "answers" -> HostScheduler.ReportSource.ANSWERS;
-          case "probe" -> HostScheduler.ReportSource.PROBE;
-          default -> HostScheduler.ReportSource.NONE;
-        }, fields);
+                        .path("furtherRatio")
+                        .asDouble(), r.path("budgetFree").asDouble(), micros(r.path("resendSpan")), micros(r
+                            .path("askWithin"))), new HostScheduler.Allowed(a.path("maxAttempts").asInt(1), a
+                                .path("probes")
+                                .asBoolean(), a.path("cancel").asBoolean(), a.path("secondCopies")
+                                    .asBoolean(), a.path("retryAfter").asBoolean(), micros(a.path(
+                                        "maxRetryAfter")), micros(a.path("dialTimeout"))),
+        new HostScheduler.Store(x.path("unitMean").asDouble(1), x.path("mostUnits").asInt(1), x.path(
+            "coldBears").asDouble(), x.path("fairWorth").asDouble(), x.path("idleWorth").asDouble(), micros(x
+                .path("meter")), x.path("tellsElsewhere").asBoolean()), switch (c.path("stats")
+                    .path("how")
+                    .asText()) {
+                  case "answers" -> HostScheduler.ReportSource.ANSWERS;
+                  case "probe" -> HostScheduler.ReportSource.PROBE;
+                  default -> HostScheduler.ReportSource.NONE;
+                }, fields);
   }
 
   private static HostScheduler.RequestClass requestClass(JsonNode k, JsonNode write) {
--- a/src/main/java/hollyslip/admin/Access.java
+++ b/src/main/java/hollyslip/admin/Access.java
@@ -39,8 +39,8 @@
 
   static String hash(String text) {
     try {
-      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(
-          StandardCharsets.UTF_8)));
+      return HexFormat.of()
+          .formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException(e);
     }
--- a/src/main/java/hollyslip/admin/AdminServer.java
+++ b/src/main/java/hollyslip/admin/AdminServer.java
@@ -75,7 +75,8 @@
     this.cert = cert;
     this.key = key;
     api = new Api(control);
-    vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+    vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)
+        .setWorkerPoolSize(1)
         .setInternalBlockingPoolSize(2));
     try {
       Router router = router();
@@ -91,7 +92,10 @@
       close();
       throw e;
     }
-    LOG.atInfo().addKeyValue("socket", socket).addKeyValue("port", this.port).addKeyValue("tls", cert != null)
+    LOG.atInfo()
+        .addKeyValue("socket", socket)
+        .addKeyValue("port", this.port)
+        .addKeyValue("tls", cert != null)
         .log("admin.started");
   }
 
@@ -116,8 +120,10 @@
   }
 
   private static HttpServerOptions options() {
-    return new HttpServerOptions().setIdleTimeout(QUIET_MS).setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
-        .setMaxInitialLineLength(4096).setMaxHeaderSize(8192);
+    return new HttpServerOptions().setIdleTimeout(QUIET_MS)
+        .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
+        .setMaxInitialLineLength(4096)
+        .setMaxHeaderSize(8192);
   }
 
   private int listen(Router router, HttpServerOptions options, SocketAddress at) throws IOException {
@@ -156,8 +162,11 @@
       return true;
     }
     try {
-      servers.get(1).updateSSLOptions(new ServerSSLOptions().setKeyCertOptions(pair()), true)
-          .toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+      servers.get(1)
+          .updateSSLOptions(new ServerSSLOptions().setKeyCertOptions(pair()), true)
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(10, TimeUnit.SECONDS);
       LOG.atInfo().log("admin.keys");
       return true;
     } catch (ExecutionException | TimeoutException e) {
@@ -171,11 +180,14 @@
   private Router router() {
     Router router = Router.router(vertx);
     List<OpenApi.Route> routes = OpenApi.routes(api);
-    byte[] description = OpenApi.description(routes).toString().getBytes(
-        java.nio.charset.StandardCharsets.UTF_8);
+    byte[] description = OpenApi.description(routes)
+        .toString()
+        .getBytes(java.nio.charset.StandardCharsets.UTF_8);
     router.route().handler(this::timed);
-    router.get("/openapi.json").handler(c -> c.response().putHeader("Content-Type", "application/json").end(
-        io.vertx.core.buffer.Buffer.buffer(description)));
+    router.get("/openapi.json")
+        .handler(c -> c.response()
+            .putHeader("Content-Type", "application/json")
+            .end(io.vertx.core.buffer.Buffer.buffer(description)));
     router.get("/v1/events").handler(this::stream);
     router.route().handler(BodyHandler.create(false).setBodyLimit(MOST_BODY));
     for (OpenApi.Route r : routes) {
@@ -184,11 +196,12 @@
       while (m.find()) {
         names.add(m.group(1));
       }
-      router.route(HttpMethod.valueOf(r.method()), r.path().replaceAll("\\{(\\w+)}", ":$1")).handler(
-          c -> answer(c, r, names));
+      router.route(HttpMethod.valueOf(r.method()), r.path().replaceAll("\\{(\\w+)}", ":$1"))
+          .handler(c -> answer(c, r, names));
     }
-    router.route().handler(c -> fail(c, new Problem(404, "not found", null,
-        "there is nothing of this name here", Map.of())));
+    router.route()
+        .handler(c -> fail(c, new Problem(404, "not found", null, "there is nothing of this name here", Map
+            .of())));
     router.route().failureHandler(this::failed);
     for (int code : List.of(400, 405)) {
       router.errorHandler(code, this::failed);
@@ -243,8 +256,9 @@
     try {
       JsonNode body = r.takes() == null ? null : parse(c);
       List<String> parameters = names.stream().map(c::pathParam).toList();
-      r.handler().answer(call(c, body), parameters).whenComplete((reply, error) -> c.vertx().runOnContext(
-          v -> {
+      r.handler()
+          .answer(call(c, body), parameters)
+          .whenComplete((reply, error) -> c.vertx().runOnContext(v -> {
             if (error != null) {
               fail(c, error);
             } else {
@@ -307,8 +321,9 @@
     if (p.figures != null && p.figures.get("revision") != null && p.status == 412) {
       out.putHeader("ETag", "\"" + p.figures.get("revision") + "\"");
     }
-    out.setStatusCode(p.status).putHeader("Content-Type", "application/problem+json").end(Statuses.body(p)
-        .toString());
+    out.setStatusCode(p.status)
+        .putHeader("Content-Type", "application/problem+json")
+        .end(Statuses.body(p).toString());
   }
 
   /** Server-sent events (WHATWG HTML, 9.2). A client that does not read is cut off, so that nothing piles
@@ -328,7 +343,9 @@
   }
 
   private void stream(RoutingContext c, long tenant) {
-    HttpServerResponse out = c.response().setChunked(true).putHeader("Content-Type", "text/event-stream")
+    HttpServerResponse out = c.response()
+        .setChunked(true)
+        .putHeader("Content-Type", "text/event-stream")
         .putHeader("Cache-Control", "no-store");
     out.setWriteQueueMaxSize(STREAM_BYTES);
     out.write(": begin\n\n");
--- a/src/main/java/hollyslip/admin/Api.java
+++ b/src/main/java/hollyslip/admin/Api.java
@@ -145,7 +145,8 @@
         if (e.kind() == Refusal.Kind.STALE) {
           // Whoever comes second is shown what is there now.
           throw new Problem(412, Statuses.title(412), e.field(), e.getMessage(), Map.of("revision", e
-              .figures().get("revision"), "current", current.apply(r)));
+              .figures()
+              .get("revision"), "current", current.apply(r)));
         }
         throw e;
       }
--- a/src/main/java/hollyslip/admin/ApiClient.java
+++ b/src/main/java/hollyslip/admin/ApiClient.java
@@ -31,7 +31,8 @@
     }
   }
 
-  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1)
+      .setWorkerPoolSize(1)
       .setInternalBlockingPoolSize(1));
   private final HttpClient http;
   private final SocketAddress server;
@@ -69,8 +70,12 @@
    *           no answer came */
   public Answer ask(String method, String path, JsonNode body, Map<String, String> headers)
       throws IOException {
-    RequestOptions options = new RequestOptions().setServer(server).setHost("localhost").setPort(server
-        .port() > 0 ? server.port() : 80).setSsl(tls).setMethod(HttpMethod.valueOf(method)).setURI(path)
+    RequestOptions options = new RequestOptions().setServer(server)
+        .setHost("localhost")
+        .setPort(server.port() > 0 ? server.port() : 80)
+        .setSsl(tls)
+        .setMethod(HttpMethod.valueOf(method))
+        .setURI(path)
         .putHeader("Authorization", "Bearer " + token);
     headers.forEach(options::putHeader);
     if (body != null) {
@@ -79,16 +84,19 @@
           : "application/json");
     }
     try {
-      return http.request(options).compose(q -> body == null
-          ? q.send()
-          : q.send(Buffer.buffer(body.toString()))).compose(r -> r.body().map(b -> {
+      return http.request(options)
+          .compose(q -> body == null ? q.send() : q.send(Buffer.buffer(body.toString())))
+          .compose(r -> r.body().map(b -> {
             try {
               return new Answer(r.statusCode(), b.length() == 0 ? null : JSON.readTree(b.getBytes()), r
                   .getHeader("ETag"), r.getHeader("Location"));
             } catch (IOException e) {
               throw new java.io.UncheckedIOException(e);
             }
-          })).toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+          }))
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(PATIENCE_S, TimeUnit.SECONDS);
     } catch (ExecutionException | TimeoutException e) {
       throw new IOException(e.getCause() == null
           ? "no answer in " + PATIENCE_S + " s"
--- a/src/main/java/hollyslip/admin/Control.java
+++ b/src/main/java/hollyslip/admin/Control.java
@@ -88,8 +88,11 @@
         bytesSince += record.length;
       }
       registrar = new Registrar(registry);
-      LOG.atInfo().addKeyValue("tenants", registry.tenantNames().size()).addKeyValue("volumes", registry
-          .volumes().size()).addKeyValue("sequence", sequence).log("store.opened");
+      LOG.atInfo()
+          .addKeyValue("tenants", registry.tenantNames().size())
+          .addKeyValue("volumes", registry.volumes().size())
+          .addKeyValue("sequence", sequence)
+          .log("store.opened");
     } catch (IOException | RuntimeException e) {
       journal.close();
       throw e;
@@ -103,8 +106,10 @@
     run(tried, () -> {
       registry.nodes().forEach(n -> carrier.node(n.node(), n.state()));
       List<CompletableFuture<Void>> all = new ArrayList<>();
-      registry.volumes().stream().sorted((a, b) -> Long.compare(a.id(), b.id())).forEach(v -> all.add(carry(
-          step(v)).exceptionally(e -> null)));
+      registry.volumes()
+          .stream()
+          .sorted((a, b) -> Long.compare(a.id(), b.id()))
+          .forEach(v -> all.add(carry(step(v)).exceptionally(e -> null)));
       CompletableFuture.allOf(all.toArray(new CompletableFuture<?>[0])).thenRun(() -> tried.complete(null));
     });
     return tried;
@@ -242,8 +247,10 @@
       if (error == null) {
         command(then, r -> null);
       } else {
-        LOG.atWarn().addKeyValue("volume", s.volume.name()).addKeyValue("why", error.getMessage()).log(
-            "volume.step");
+        LOG.atWarn()
+            .addKeyValue("volume", s.volume.name())
+            .addKeyValue("why", error.getMessage())
+            .log("volume.step");
         thread.schedule(() -> again(s), RETRY_MS, TimeUnit.MILLISECONDS);
       }
     });
--- a/src/main/java/hollyslip/admin/OpenApi.java
+++ b/src/main/java/hollyslip/admin/OpenApi.java
@@ -125,8 +125,12 @@
       parameters(r, o.putArray("parameters"));
       if (r.takes != null) {
         String type = r.method.equals("PATCH") ? "application/merge-patch+json" : "application/json";
-        o.putObject("requestBody").put("required", true).putObject("content").putObject(type).putObject(
-            "schema").put("$ref", "#/components/schemas/" + r.takes);
+        o.putObject("requestBody")
+            .put("required", true)
+            .putObject("content")
+            .putObject(type)
+            .putObject("schema")
+            .put("$ref", "#/components/schemas/" + r.takes);
       }
       ObjectNode answers = o.putObject("responses");
       r.codes.forEach(code -> answer(answers, code, r));
@@ -158,26 +162,40 @@
   }
 
   private static void parameter(ArrayNode to, String name, String in, boolean required) {
-    to.addObject().put("name", name).put("in", in).put("required", required).putObject("schema").put("type",
-        "string");
+    to.addObject()
+        .put("name", name)
+        .put("in", in)
+        .put("required", required)
+        .putObject("schema")
+        .put("type", "string");
   }
 
   private static void answer(ObjectNode to, int code, Route r) {
     ObjectNode a = to.putObject(Integer.toString(code)).put("description", Statuses.title(code));
     if (code >= 400) {
-      a.putObject("content").putObject("application/problem+json").putObject("schema").put("$ref",
-          "#/components/schemas/Problem");
+      a.putObject("content")
+          .putObject("application/problem+json")
+          .putObject("schema")
+          .put("$ref", "#/components/schemas/Problem");
     } else if (r.gives != null) {
-      a.putObject("content").putObject("application/json").putObject("schema").put("$ref",
-          "#/components/schemas/" + r.gives);
+      a.putObject("content")
+          .putObject("application/json")
+          .putObject("schema")
+          .put("$ref", "#/components/schemas/" + r.gives);
     }
   }
 
   private static void events(ObjectNode paths) {
-    ObjectNode o = paths.putObject("/v1/events").putObject("get").put("summary",
-        "Streams the audit trail as it grows, as server-sent events");
-    o.putObject("responses").putObject("200").put("description", "OK").putObject("content").putObject(
-        "text/event-stream").putObject("schema").put("type", "string");
+    ObjectNode o = paths.putObject("/v1/events")
+        .putObject("get")
+        .put("summary", "Streams the audit trail as it grows, as server-sent events");
+    o.putObject("responses")
+        .putObject("200")
+        .put("description", "OK")
+        .putObject("content")
+        .putObject("text/event-stream")
+        .putObject("schema")
+        .put("type", "string");
     o.putArray("security").addObject().putArray("token");
   }
 
--- a/src/main/java/hollyslip/admin/Statuses.java
+++ b/src/main/java/hollyslip/admin/Statuses.java
@@ -55,8 +55,11 @@
   }
 
   static ObjectNode body(Problem p) {
-    ObjectNode n = Views.JSON.createObjectNode().put("type", "about:blank").put("title", p.title).put(
-        "status", p.status).put("detail", p.getMessage());
+    ObjectNode n = Views.JSON.createObjectNode()
+        .put("type", "about:blank")
+        .put("title", p.title)
+        .put("status", p.status)
+        .put("detail", p.getMessage());
     if (p.field != null) {
       n.put("field", p.field);
     }
--- a/src/main/java/hollyslip/admin/Views.java
+++ b/src/main/java/hollyslip/admin/Views.java
@@ -49,9 +49,13 @@
   // Plans.
 
   private static ObjectNode terms(Terms t) {
-    return node().put("rate", t.rate()).put("reserve", t.reserve()).put("weight", t.weight()).put("price", t
-        .price()).put("limit", t.limit()).put("limit_burst", t.limitBurst()).put("limit_slack", t
-            .limitSlack());
+    return node().put("rate", t.rate())
+        .put("reserve", t.reserve())
+        .put("weight", t.weight())
+        .put("price", t.price())
+        .put("limit", t.limit())
+        .put("limit_burst", t.limitBurst())
+        .put("limit_slack", t.limitSlack());
   }
 
   static ObjectNode plan(Plan p) {
@@ -79,15 +83,19 @@
   static ObjectNode tenant(Registry r, Tenant t) {
     ObjectNode n = wish(t);
     n.put("revision", t.revision()).put("phase", word(t.phase()));
-    n.putObject("used").put("reserve", r.promised(t.id())).put("bytes", r.bytes(t.id())).put("volumes", r
-        .volumeNames(t.id()).size());
+    n.putObject("used")
+        .put("reserve", r.promised(t.id()))
+        .put("bytes", r.bytes(t.id()))
+        .put("volumes", r.volumeNames(t.id()).size());
     return n;
   }
 
   static ObjectNode wish(Tenant t) {
     ObjectNode n = node().put("name", t.name()).put("weight", t.weight());
-    n.putObject("quota").put("reserve", t.quota().reserve()).put("bytes", t.quota().bytes()).put("volumes", t
-        .quota().volumes());
+    n.putObject("quota")
+        .put("reserve", t.quota().reserve())
+        .put("bytes", t.quota().bytes())
+        .put("volumes", t.quota().volumes());
     ObjectNode members = n.putObject("members");
     t.members().forEach(members::put);
     return n;
@@ -116,8 +124,10 @@
   }
 
   static ObjectNode wish(HostedVolume v) {
-    ObjectNode n = node().put("name", v.name()).put("plan", v.plan()).put("bytes", v.bytes()).put(
-        "extent_bytes", v.extentBytes());
+    ObjectNode n = node().put("name", v.name())
+        .put("plan", v.plan())
+        .put("bytes", v.bytes())
+        .put("extent_bytes", v.extentBytes());
     put(n, "reserve", v.own().reserve());
     put(n, "weight", v.own().weight());
     put(n, "limit", v.own().limit());
@@ -142,13 +152,20 @@
   // The rest.
 
   static ObjectNode nodeOf(String name, Carrier.NodeView v, Change.NodePut said) {
-    return node().put("name", name).put("id", v.id()).put("shard", v.shard()).put("zone", v.zone()).put(
-        "state", word(v.state())).put("revision", said == null ? 0 : said.revision());
+    return node().put("name", name)
+        .put("id", v.id())
+        .put("shard", v.shard())
+        .put("zone", v.zone())
+        .put("state", word(v.state()))
+        .put("revision", said == null ? 0 : said.revision());
   }
 
   static ObjectNode task(Registry r, Change.Task t) {
-    ObjectNode n = node().put("id", t.id()).put("kind", t.kind()).put("target", t.target()).put("state", t
-        .doneAt() > 0 ? "done" : "running").put("started_at", t.startedAt());
+    ObjectNode n = node().put("id", t.id())
+        .put("kind", t.kind())
+        .put("target", t.target())
+        .put("state", t.doneAt() > 0 ? "done" : "running")
+        .put("started_at", t.startedAt());
     if (t.doneAt() > 0) {
       n.put("done_at", t.doneAt());
     } else if (t.kind().equals("remove tenant")) {
@@ -159,9 +176,9 @@
   }
 
   static ObjectNode token(Registry r, Change.Token t) {
-    ObjectNode n = node().put("id", t.id()).put("who", t.who()).put("scope", t.tenant() == 0
-        ? "operator"
-        : "tenant");
+    ObjectNode n = node().put("id", t.id())
+        .put("who", t.who())
+        .put("scope", t.tenant() == 0 ? "operator" : "tenant");
     if (t.tenant() != 0) {
       n.put("tenant", r.tenant(t.tenant()).name());
     }
@@ -169,8 +186,11 @@
   }
 
   static ObjectNode trail(Trail t) {
-    ObjectNode n = node().put("sequence", t.sequence()).put("at", t.at()).put("who", t.who()).put("what", t
-        .what()).put("target", t.target());
+    ObjectNode n = node().put("sequence", t.sequence())
+        .put("at", t.at())
+        .put("who", t.who())
+        .put("what", t.what())
+        .put("target", t.target());
     n.set("before", JSON.valueToTree(t.before()));
     n.set("after", JSON.valueToTree(t.after()));
     return n;
--- a/src/main/java/hollyslip/audit/Auditor.java
+++ b/src/main/java/hollyslip/audit/Auditor.java
@@ -129,16 +129,19 @@
         breach(Rule.NO_EFFECT_TWICE, name(a) + " was served without an effect");
       }
       if (a.answers() > 0) {
-        effects.stream().filter(c -> c.doneUs() > a.answeredUs()).findFirst().ifPresent(c -> lateEffect(a,
-            c));
+        effects.stream()
+            .filter(c -> c.doneUs() > a.answeredUs())
+            .findFirst()
+            .ifPresent(c -> lateEffect(a, c));
       }
     }
   }
 
   /** Whether a request reached its node as one command: those cut in pieces have no checksum of the whole. */
   private boolean whole(Asked a) {
-    return commands.stream().noneMatch(c -> c.kind() == Nbd.CMD_WRITE && c.length() < a.length() && c
-        .doneUs() >= a.askedUs() && c.doneUs() <= a.answeredUs());
+    return commands.stream()
+        .noneMatch(c -> c.kind() == Nbd.CMD_WRITE && c.length() < a.length() && c.doneUs() >= a.askedUs() && c
+            .doneUs() <= a.answeredUs());
   }
 
   /** An effect after the answer must not land on a newer write that was answered before it. */
@@ -161,9 +164,12 @@
       if (!(t instanceof Told.State s) || s.state() == NodeState.ON) {
         continue;
       }
-      long until = told.stream().filter(x -> x instanceof Told.State y && y.node().equals(s.node()) && y
-          .gateway().equals(s.gateway()) && y.state() == NodeState.ON && y.atUs() > s.atUs()).mapToLong(
-              Told::atUs).min().orElse(Long.MAX_VALUE);
+      long until = told.stream()
+          .filter(x -> x instanceof Told.State y && y.node().equals(s.node()) && y.gateway()
+              .equals(s.gateway()) && y.state() == NodeState.ON && y.atUs() > s.atUs())
+          .mapToLong(Told::atUs)
+          .min()
+          .orElse(Long.MAX_VALUE);
       for (Command c : commands) {
         boolean mine = c.node().equals(s.node()) && c.client().startsWith(s.gateway() + "/");
         if (mine && c.receivedUs() > s.atUs()) {
@@ -218,11 +224,14 @@
   /** Rule 5: requests with one key run one at a time, in the order in which they were asked. */
   private void order() {
     Map<Long, List<Asked>> lines = new HashMap<>();
-    asked.stream().filter(a -> a.key() >= 0).forEach(a -> lines.computeIfAbsent(a.key(),
-        k -> new ArrayList<>()).add(a));
+    asked.stream()
+        .filter(a -> a.key() >= 0)
+        .forEach(a -> lines.computeIfAbsent(a.key(), k -> new ArrayList<>()).add(a));
     Map<String, List<Command>> byBytes = new HashMap<>();
-    commands.stream().filter(c -> c.kind() == Nbd.CMD_WRITE).forEach(c -> byBytes.computeIfAbsent(c.checksum()
-        + "+" + c.length(), k -> new ArrayList<>()).add(c));
+    commands.stream()
+        .filter(c -> c.kind() == Nbd.CMD_WRITE)
+        .forEach(c -> byBytes.computeIfAbsent(c.checksum() + "+" + c.length(), k -> new ArrayList<>())
+            .add(c));
     for (List<Asked> line : lines.values()) {
       long before = 0;
       Asked last = null;
@@ -252,15 +261,18 @@
       return;
     }
     Map<String, List<Command>> byClient = new HashMap<>();
-    commands.stream().filter(c -> !c.client().isEmpty()).forEach(c -> byClient.computeIfAbsent(c.client(),
-        k -> new ArrayList<>()).add(c));
+    commands.stream()
+        .filter(c -> !c.client().isEmpty())
+        .forEach(c -> byClient.computeIfAbsent(c.client(), k -> new ArrayList<>()).add(c));
     byClient.forEach((client, sent) -> budget(client, sent));
   }
 
   private void budget(String client, List<Command> sent) {
     String gateway = client.substring(0, client.lastIndexOf('/'));
-    long[] asks = asked.stream().filter(a -> a.gateway().equals(gateway)).flatMapToLong(a -> LongStream
-        .generate(a::askedUs).limit(pieces(a))).toArray();
+    long[] asks = asked.stream()
+        .filter(a -> a.gateway().equals(gateway))
+        .flatMapToLong(a -> LongStream.generate(a::askedUs).limit(pieces(a)))
+        .toArray();
     Set<Long> seen = new HashSet<>();
     ArrayDeque<Long> further = new ArrayDeque<>();
     for (Command c : sent) {
--- a/src/main/java/hollyslip/cli/AuditCommand.java
+++ b/src/main/java/hollyslip/cli/AuditCommand.java
@@ -29,9 +29,10 @@
   /** Prints a report; whether all rules were kept. */
   static boolean print(Auditor.Report report) {
     System.out.printf("%-22s %10s %9s%n", "rule", "looked at", "breaches");
-    report.checked().forEach((rule, n) -> System.out.printf("%-22s %10d %9d%n", rule.name().toLowerCase(
-        java.util.Locale.ROOT).replace('_', ' '), n, report.breaches().stream().filter(b -> b.rule() == rule)
-            .count()));
+    report.checked()
+        .forEach((rule, n) -> System.out.printf("%-22s %10d %9d%n", rule.name()
+            .toLowerCase(java.util.Locale.ROOT)
+            .replace('_', ' '), n, report.breaches().stream().filter(b -> b.rule() == rule).count()));
     report.breaches().stream().limit(MOST_LINES).forEach(b -> System.out.println("  " + b));
     return report.kept();
   }
--- a/src/main/java/hollyslip/cli/BenchRing.java
+++ b/src/main/java/hollyslip/cli/BenchRing.java
@@ -113,7 +113,8 @@
   /** An engine whose nodes answer at once without any bytes: what ring, engine and module cost. */
   private static Engine echo(Deployment d) {
     Engine e = new Engine(new Engine.Config(d.module(), new Classifier(d.rows(), d.gateway().unitBytes(), d
-        .store().mostUnits()), new Splitter(1 << 20), 65_536, 1 << 30), d.byName(), new Choice(d.module()));
+        .store()
+        .mostUnits()), new Splitter(1 << 20), 65_536, 1 << 30), d.byName(), new Choice(d.module()));
     e.start(new NodePort() {
       @Override
       public void send(Attempt attempt) {
@@ -140,7 +141,9 @@
       @Override
       public void close() {}
     });
-    e.nodes(new hollyslip.HostScheduler.NodeList(true, d.nodes().stream().map(Deployment.Node::listed)
+    e.nodes(new hollyslip.HostScheduler.NodeList(true, d.nodes()
+        .stream()
+        .map(Deployment.Node::listed)
         .toList()));
     return e;
   }
--- a/src/main/java/hollyslip/cli/CheckCommand.java
+++ b/src/main/java/hollyslip/cli/CheckCommand.java
@@ -22,7 +22,8 @@
     }
     var d = loaded.deployment();
     System.out.println("no faults: " + d.nodes().size() + " nodes, " + d.volumes().size() + " volumes, " + d
-        .plans().size() + " plans, " + d.classes().size() + " request classes");
+        .plans()
+        .size() + " plans, " + d.classes().size() + " request classes");
     return Main.DONE;
   }
 }
--- a/src/main/java/hollyslip/cli/Days.java
+++ b/src/main/java/hollyslip/cli/Days.java
@@ -23,9 +23,10 @@
     r.answers().forEach((a, n) -> System.out.printf("%-12s %10d%n", a.name().toLowerCase(Locale.ROOT), n));
     System.out.println();
     System.out.printf("%-20s %8s %9s %9s %9s   served, ms%n", "plan, kind", "served", "p50", "p99", "p99.9");
-    r.latency().forEach((key, h) -> System.out.printf(Locale.ROOT, "%-20s %8d %9.2f %9.2f %9.2f%n", key, h
-        .getTotalCount(), h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h
-            .getValueAtPercentile(99.9) / 1e3));
+    r.latency()
+        .forEach((key, h) -> System.out.printf(Locale.ROOT, "%-20s %8d %9.2f %9.2f %9.2f%n", key, h
+            .getTotalCount(), h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h
+                .getValueAtPercentile(99.9) / 1e3));
     System.out.println();
     boolean kept = AuditCommand.print(r.audit());
     r.wrongReads().stream().limit(10).forEach(w -> System.out.println("  wrong read: " + w));
--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -91,8 +91,12 @@
     if (control != null) {
       control.start().join();
     }
-    LOG.atInfo().addKeyValue("name", p.name()).addKeyValue("epoch", epoch).addKeyValue("volumes", deployment
-        .volumes().size()).addKeyValue("nodes", deployment.nodes().size()).log("gateway.started");
+    LOG.atInfo()
+        .addKeyValue("name", p.name())
+        .addKeyValue("epoch", epoch)
+        .addKeyValue("volumes", deployment.volumes().size())
+        .addKeyValue("nodes", deployment.nodes().size())
+        .log("gateway.started");
   }
 
   private AdminServer admin(Deployment.Process p) throws IOException {
@@ -105,11 +109,16 @@
   private static List<Shard> shards(Deployment d) {
     Map<Integer, List<Shard.Range>> taken = new HashMap<>();
     for (Volume v : d.volumes()) {
-      v.extents().forEach(e -> taken.computeIfAbsent(e.shard(), k -> new ArrayList<>()).add(new Shard.Range(e
-          .offset(), e.offset() + v.extentBytes())));
+      v.extents()
+          .forEach(e -> taken.computeIfAbsent(e.shard(), k -> new ArrayList<>())
+              .add(new Shard.Range(e.offset(), e.offset() + v.extentBytes())));
     }
-    return d.nodes().stream().filter(n -> n.state() != NodeState.GONE).map(n -> new Shard(n.shard(), n.zone(),
-        n.capacity(), n.bytes(), taken.getOrDefault(n.shard(), List.of()))).toList();
+    return d.nodes()
+        .stream()
+        .filter(n -> n.state() != NodeState.GONE)
+        .map(n -> new Shard(n.shard(), n.zone(), n.capacity(), n.bytes(), taken.getOrDefault(n.shard(), List
+            .of())))
+        .toList();
   }
 
   private void nodeState(String name, NodeState state) {
@@ -136,8 +145,11 @@
   }
 
   private static List<NodePool.Address> addresses(Deployment d) {
-    return d.nodes().stream().map(n -> new NodePool.Address(n.id(), n.name(), new InetSocketAddress(n.host(),
-        n.port()), "shard-" + n.shard())).toList();
+    return d.nodes()
+        .stream()
+        .map(n -> new NodePool.Address(n.id(), n.name(), new InetSocketAddress(n.host(), n.port()), "shard-"
+            + n.shard()))
+        .toList();
   }
 
   private static List<Listed> listed(Deployment d) {
@@ -166,13 +178,20 @@
     for (Listed l : now) {
       Listed old = before.stream().filter(b -> b.node() == l.node()).findFirst().orElse(null);
       if (old == null || old.state() != l.state()) {
-        LOG.atInfo().addKeyValue("node", l.node()).addKeyValue("shard", l.cell()).addKeyValue("state", l
-            .state()).log("node.state");
+        LOG.atInfo()
+            .addKeyValue("node", l.node())
+            .addKeyValue("shard", l.cell())
+            .addKeyValue("state", l.state())
+            .log("node.state");
       }
     }
-    before.stream().filter(b -> now.stream().noneMatch(l -> l.node() == b.node())).forEach(b -> LOG.atInfo()
-        .addKeyValue("node", b.node()).addKeyValue("shard", b.cell()).addKeyValue("state", "GONE").log(
-            "node.state"));
+    before.stream()
+        .filter(b -> now.stream().noneMatch(l -> l.node() == b.node()))
+        .forEach(b -> LOG.atInfo()
+            .addKeyValue("node", b.node())
+            .addKeyValue("shard", b.cell())
+            .addKeyValue("state", "GONE")
+            .log("node.state"));
   }
 
   /** Takes on another node list; the rest of the settings stays as it was. */
@@ -184,8 +203,8 @@
     membership.replace(listed(next));
     if (control != null) {
       // The administrators' word stands against the settings'.
-      control.read(r -> List.copyOf(r.nodes())).thenAccept(all -> all.forEach(n -> nodeState(n.node(), n
-          .state())));
+      control.read(r -> List.copyOf(r.nodes()))
+          .thenAccept(all -> all.forEach(n -> nodeState(n.node(), n.state())));
     }
     logChanges(before);
     LOG.atInfo().addKeyValue("nodes", next.nodes().size()).log("nodes.replaced");
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -596,9 +596,13 @@
   private void sample(Sampler sampler, String event, Operation op) {
     long facts = sampler.admit(now);
     if (facts > 0) {
-      LOG.atInfo().addKeyValue("volume", op.volume.name()).addKeyValue("tenant", op.volume.tenant())
-          .addKeyValue("request", op.pieces.isEmpty() ? -1 : op.pieces.get(0).id).addKeyValue("kind", op.io
-              .kind()).addKeyValue("facts", facts).log(event);
+      LOG.atInfo()
+          .addKeyValue("volume", op.volume.name())
+          .addKeyValue("tenant", op.volume.tenant())
+          .addKeyValue("request", op.pieces.isEmpty() ? -1 : op.pieces.get(0).id)
+          .addKeyValue("kind", op.io.kind())
+          .addKeyValue("facts", facts)
+          .log(event);
     }
   }
 
--- a/src/main/java/hollyslip/engine/RangeLocks.java
+++ b/src/main/java/hollyslip/engine/RangeLocks.java
@@ -66,8 +66,8 @@
   /** Whether something waits for the blocks that this piece holds. */
   boolean awaited(Piece holder) {
     Shard shard = shards.get(holder.shard);
-    return shard != null && !shard.waiting.isEmpty() && shard.waiting.stream().anyMatch(w -> overlap(w,
-        holder));
+    return shard != null && !shard.waiting.isEmpty() && shard.waiting.stream()
+        .anyMatch(w -> overlap(w, holder));
   }
 
   /** Pieces that hold or wait. */
--- a/src/main/java/hollyslip/front/sftp/SftpServer.java
+++ b/src/main/java/hollyslip/front/sftp/SftpServer.java
@@ -28,14 +28,19 @@
     this.path = path;
     Files.deleteIfExists(path);
     try {
-      listener = new ServerBootstrap().group(group).channel(NioServerDomainSocketChannel.class).childHandler(
-          new ChannelInitializer<Channel>() {
+      listener = new ServerBootstrap().group(group)
+          .channel(NioServerDomainSocketChannel.class)
+          .childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel c) {
-              c.pipeline().addLast(new LengthFieldBasedFrameDecoder(Packets.MOST_PACKET, 0, 4, 0, 4),
-                  new LengthFieldPrepender(4), new Session(engine));
+              c.pipeline()
+                  .addLast(new LengthFieldBasedFrameDecoder(Packets.MOST_PACKET, 0, 4, 0, 4),
+                      new LengthFieldPrepender(4), new Session(engine));
             }
-          }).bind(UnixDomainSocketAddress.of(path)).syncUninterruptibly().channel();
+          })
+          .bind(UnixDomainSocketAddress.of(path))
+          .syncUninterruptibly()
+          .channel();
     } catch (RuntimeException e) {
       group.shutdownGracefully();
       throw new IOException("sftp socket " + path + ": " + e.getMessage(), e);
--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -161,8 +161,10 @@
       try {
         Linux.sendNow(backend, Wire.message(Wire.BACKEND_CONFIG_CHANGE, 0, new byte[0]));
       } catch (IOException e) {
-        LOG.atDebug().addKeyValue("volume", volume.name()).addKeyValue("why", e.getMessage()).log(
-            "device.config");
+        LOG.atDebug()
+            .addKeyValue("volume", volume.name())
+            .addKeyValue("why", e.getMessage())
+            .log("device.config");
       }
     }
   }
@@ -199,8 +201,11 @@
     try {
       why = serve();
     } catch (InternalError e) {
-      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
-          "field", why).log("device.stopped");
+      LOG.atWarn()
+          .addKeyValue("volume", volume.name())
+          .addKeyValue("tenant", volume.tenant())
+          .addKeyValue("field", why)
+          .log("device.stopped");
     }
     ClientMemory.settled();
     close(why);
@@ -221,14 +226,20 @@
       }
       return "the gateway ends";
     } catch (Violation e) {
-      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
-          "field", e.getMessage()).log("device.stopped");
+      LOG.atWarn()
+          .addKeyValue("volume", volume.name())
+          .addKeyValue("tenant", volume.tenant())
+          .addKeyValue("field", e.getMessage())
+          .log("device.stopped");
       return e.getMessage();
     } catch (Closed e) {
       return "the client left";
     } catch (IOException | RuntimeException e) {
-      LOG.atWarn().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
-          "why", e.toString()).log("device.stopped");
+      LOG.atWarn()
+          .addKeyValue("volume", volume.name())
+          .addKeyValue("tenant", volume.tenant())
+          .addKeyValue("why", e.toString())
+          .log("device.stopped");
       return e.toString();
     }
   }
@@ -627,8 +638,10 @@
     while (!arrivedFds.isEmpty()) {
       Linux.closeAll(arrivedFds.poll());
     }
-    GuestMemory.Region gone = memory.regions.stream().filter(r -> r.guest == guest && r.size == size
-        && r.user == user).findFirst().orElseThrow(() -> new Violation("REM_MEM_REG: no such region"));
+    GuestMemory.Region gone = memory.regions.stream()
+        .filter(r -> r.guest == guest && r.size == size && r.user == user)
+        .findFirst()
+        .orElseThrow(() -> new Violation("REM_MEM_REG: no such region"));
     memory = memory.without(gone);
     rings.forEach(this::relocate);
     gone.release();
@@ -669,12 +682,18 @@
           r.size));
       r.again.addAll(heads);
       if (!heads.isEmpty()) {
-        LOG.atInfo().addKeyValue("volume", volume.name()).addKeyValue("queue", r.index).addKeyValue(
-            "requests", heads.size()).log("ring.recovered");
+        LOG.atInfo()
+            .addKeyValue("volume", volume.name())
+            .addKeyValue("queue", r.index)
+            .addKeyValue("requests", heads.size())
+            .log("ring.recovered");
       }
     }
-    LOG.atDebug().addKeyValue("volume", volume.name()).addKeyValue("queue", r.index).addKeyValue("size",
-        r.size).log("ring.started");
+    LOG.atDebug()
+        .addKeyValue("volume", volume.name())
+        .addKeyValue("queue", r.index)
+        .addKeyValue("size", r.size)
+        .log("ring.started");
   }
 
   /** The ring stops; the reply waits until all it has taken is answered. */
@@ -713,8 +732,10 @@
     Violation.check(offset >= 0 && size >= 0 && size == p.remaining() - 12 && size <= 256, "GET_CONFIG: "
         + offset + "+" + size);
     ByteBuffer c = ByteBuffer.allocate(offset + size + CONFIG_BYTES).order(ByteOrder.LITTLE_ENDIAN);
-    c.putLong(0, volume.bytes() / Volume.BLOCK).putInt(12, SEG_MAX).putInt(20, Volume.BLOCK).putShort(34,
-        (short) MOST_QUEUES);
+    c.putLong(0, volume.bytes() / Volume.BLOCK)
+        .putInt(12, SEG_MAX)
+        .putInt(20, Volume.BLOCK)
+        .putShort(34, (short) MOST_QUEUES);
     int most = (int) Math.min(Integer.MAX_VALUE, volume.bytes() / Volume.BLOCK);
     c.putInt(36, most).putInt(40, 1).putInt(44, 1).putInt(48, most).putInt(52, 1).put(56, (byte) 1);
     for (int i = 0; i < size; i++) {
@@ -796,8 +817,12 @@
     if (inflight != null) {
       inflight.unmap();
     }
-    LOG.atInfo().addKeyValue("volume", volume.name()).addKeyValue("tenant", volume.tenant()).addKeyValue(
-        "inflight", flight.size()).addKeyValue("why", why).log("device.closed");
+    LOG.atInfo()
+        .addKeyValue("volume", volume.name())
+        .addKeyValue("tenant", volume.tenant())
+        .addKeyValue("inflight", flight.size())
+        .addKeyValue("why", why)
+        .log("device.closed");
     Linux.closeAll(socket, backend);
     closeWake();
     ended.run();
--- a/src/main/java/hollyslip/front/vhost/VhostServer.java
+++ b/src/main/java/hollyslip/front/vhost/VhostServer.java
@@ -76,7 +76,10 @@
     Thread t = new Thread(self[0], "device-" + volume);
     t.setDaemon(true);
     t.start();
-    LOG.atInfo().addKeyValue("volume", volume).addKeyValue("tenant", v.tenant()).addKeyValue("user", user)
+    LOG.atInfo()
+        .addKeyValue("volume", volume)
+        .addKeyValue("tenant", v.tenant())
+        .addKeyValue("user", user)
         .log("device.opened");
     if (!members.test(user)) {
       self[0].stop();
--- a/src/main/java/hollyslip/front/vhost/Wire.java
+++ b/src/main/java/hollyslip/front/vhost/Wire.java
@@ -63,8 +63,13 @@
 
   /** Bytes of a message. */
   public static byte[] message(int request, int flags, byte[] payload) {
-    return ByteBuffer.allocate(HEADER + payload.length).order(ByteOrder.LITTLE_ENDIAN).putInt(request).putInt(
-        VERSION | flags).putInt(payload.length).put(payload).array();
+    return ByteBuffer.allocate(HEADER + payload.length)
+        .order(ByteOrder.LITTLE_ENDIAN)
+        .putInt(request)
+        .putInt(VERSION | flags)
+        .putInt(payload.length)
+        .put(payload)
+        .array();
   }
 
   /** A payload of one u64. */
--- a/src/main/java/hollyslip/load/Child.java
+++ b/src/main/java/hollyslip/load/Child.java
@@ -23,7 +23,8 @@
         .getProperty("java.class.path"), "hollyslip.cli.Main", "serve", settings.toString(), "--log",
         "json"));
     process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
-        .redirectInput(new File("/dev/null")).start();
+        .redirectInput(new File("/dev/null"))
+        .start();
     BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
         StandardCharsets.UTF_8));
     String line = out.readLine();
--- a/src/main/java/hollyslip/load/DayRunner.java
+++ b/src/main/java/hollyslip/load/DayRunner.java
@@ -115,7 +115,8 @@
   private void start() throws IOException {
     for (int i = 0; i < day.nodes().count(); i++) {
       disks.add(new DiskServer(DiskServer.Config.timed("store-" + i, 64 << 20, day.nodes().cores(), day
-          .nodes().queue(), day.nodes().baseUs(), day.seed() * 100 + i)));
+          .nodes()
+          .queue(), day.nodes().baseUs(), day.seed() * 100 + i)));
     }
     writeFleet();
     for (int g = 0; g < day.gateways(); g++) {
@@ -151,8 +152,9 @@
     long deadline = d.classes().stream().mapToLong(c -> c.deadlineUs()).max().orElseThrow();
     RingLoad load = new RingLoad(new RingLoad.Plan(v.volume() + "-" + number, d.gateway().name(), v.volume(),
         number * part, part, 0, v.depth(), (long) (1e6 * all / v.rate()), v.reads(), v.mostBlocks(), deadline,
-        d.gateway().unitBytes(), day.seed() * 1_000 + clients.size()), d.gateway().socketDir().resolve(v
-            .volume() + ".sock"));
+        d.gateway().unitBytes(), day.seed() * 1_000 + clients.size()), d.gateway()
+            .socketDir()
+            .resolve(v.volume() + ".sock"));
     Thread t = new Thread(load, "client-" + v.volume() + "-" + number);
     clients.add(new Client(load, t, v, g));
     t.start();
@@ -162,7 +164,8 @@
     StringBuilder s = new StringBuilder("NODES = [\n");
     for (int i = 0; i < disks.size(); i++) {
       s.append(String.format("    (\"%s\", %d, \"hall-%s\", %d, \"%s\"),%n", disks.get(i).name(), disks.get(i)
-          .address().getPort(), i % 2 == 0 ? "a" : "b", i, states[i].name().toLowerCase(Locale.ROOT)));
+          .address()
+          .getPort(), i % 2 == 0 ? "a" : "b", i, states[i].name().toLowerCase(Locale.ROOT)));
     }
     Path fresh = dir.resolve("fleet.star.new");
     Files.writeString(fresh, s.append("]\n"));
@@ -172,9 +175,11 @@
   private String text(int gateway) throws IOException {
     try (InputStream in = DayRunner.class.getResourceAsStream("/hollyslip/example.star")) {
       String example = new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("\"gateway-a\"",
-          "\"gateway-" + gateway + "\"").replace("\"run\"", "\"run-" + gateway + "\"").replace("\"state\"",
-              "\"state-" + gateway + "\"").replace("index = 0,", "index = " + gateway + ",").replace(
-                  "hosts = 1,", "hosts = " + day.gateways() + ",");
+          "\"gateway-" + gateway + "\"")
+          .replace("\"run\"", "\"run-" + gateway + "\"")
+          .replace("\"state\"", "\"state-" + gateway + "\"")
+          .replace("index = 0,", "index = " + gateway + ",")
+          .replace("hosts = 1,", "hosts = " + day.gateways() + ",");
       return day.example() ? example : example.substring(0, example.indexOf("# Plans:")) + own();
     }
   }
@@ -212,7 +217,8 @@
     for (double s = 10; s < day.seconds(); s += 10) {
       double now = s;
       at(now, "", () -> out.printf(Locale.ROOT, "%6.1f s  %d requests asked%n", now, clients.stream()
-          .mapToInt(c -> c.load().asked()).sum()));
+          .mapToInt(c -> c.load().asked())
+          .sum()));
     }
     at(day.seconds(), "load ends", () -> clients.forEach(c -> c.load().finish()));
   }
@@ -263,8 +269,9 @@
             .abusive(true)));
         at(end, "", () -> of(t).forEach(c -> c.load().abusive(false)));
       }
-      case "reconnect" -> at(t.at(), "clients drop and come again", () -> clients.stream().filter(c -> random
-          .nextDouble() < t.part()).forEach(c -> c.load().drop()));
+      case "reconnect" -> at(t.at(), "clients drop and come again", () -> clients.stream()
+          .filter(c -> random.nextDouble() < t.part())
+          .forEach(c -> c.load().drop()));
       case "client-vanish" -> at(t.at(), "a client vanishes", () -> vanish(t.target()));
       case "list-down" -> {
         at(t.at(), "the node list is out of reach", () -> listDown = true);
@@ -311,15 +318,18 @@
   }
 
   private List<Client> of(Day.Trouble t) {
-    return clients.stream().filter(c -> c.volume().volume().equals(t.target()) || c.volume().plan().equals(t
-        .target())).toList();
+    return clients.stream()
+        .filter(c -> c.volume().volume().equals(t.target()) || c.volume().plan().equals(t.target()))
+        .toList();
   }
 
   private void loads(Day.Trouble t, java.util.function.Predicate<Client> which) {
     at(t.at(), t.kind() + " " + t.target() + ": " + t.size() + " times the load", () -> clients.stream()
-        .filter(which).forEach(c -> c.load().speed(t.size())));
-    at(t.at() + t.seconds(), t.kind() + " over", () -> clients.stream().filter(which).forEach(c -> c.load()
-        .speed(1)));
+        .filter(which)
+        .forEach(c -> c.load().speed(t.size())));
+    at(t.at() + t.seconds(), t.kind() + " over", () -> clients.stream()
+        .filter(which)
+        .forEach(c -> c.load().speed(1)));
   }
 
   private void restart(DiskServer d) throws IOException {
@@ -353,13 +363,17 @@
 
   /** One client more that asks and leaves with everything out. */
   private void vanish(String volume) throws IOException {
-    Day.Load v = day.volumes().stream().filter(l -> l.volume().equals(volume)).findFirst().orElse(day
-        .volumes().get(0));
+    Day.Load v = day.volumes()
+        .stream()
+        .filter(l -> l.volume().equals(volume))
+        .findFirst()
+        .orElse(day.volumes().get(0));
     Deployment d = deployments.get(0);
     // It only reads: its part of the volume is another client's.
     RingLoad load = new RingLoad(new RingLoad.Plan("leaver", d.gateway().name(), v.volume(), 0, 1 << 20, 40,
-        32, 0, 1, 4, 2_000_000, d.gateway().unitBytes(), day.seed() + 5), d.gateway().socketDir().resolve(v
-            .volume() + ".sock"));
+        32, 0, 1, 4, 2_000_000, d.gateway().unitBytes(), day.seed() + 5), d.gateway()
+            .socketDir()
+            .resolve(v.volume() + ".sock"));
     Thread t = new Thread(() -> {
       try {
         load.runThenVanish();
@@ -393,13 +407,15 @@
     for (Asked a : asked) {
       if (a.answer() == Asked.Answer.SERVED) {
         String key = planOf(a.volume()) + (a.kind() == 0 ? " read" : " write");
-        latency.computeIfAbsent(key, k -> new Histogram(600_000_000L, 3)).recordValue(a.answeredUs() - a
-            .askedUs());
+        latency.computeIfAbsent(key, k -> new Histogram(600_000_000L, 3))
+            .recordValue(a.answeredUs() - a.askedUs());
       }
     }
     // The leaver reads another's blocks, which its own reference copy does not know.
-    List<String> wrong = clients.stream().filter(c -> !c.thread().getName().equals("leaver")).flatMap(c -> c
-        .load().wrong().stream()).toList();
+    List<String> wrong = clients.stream()
+        .filter(c -> !c.thread().getName().equals("leaver"))
+        .flatMap(c -> c.load().wrong().stream())
+        .toList();
     return new Result(Auditor.check(figures(), asked, commands, told), wrong, answers, latency, clean);
   }
 
@@ -412,8 +428,10 @@
     Map<String, Figures.Limit> limits = new HashMap<>();
     List<Figures.Area> areas = new ArrayList<>();
     d.volumes().forEach(v -> {
-      d.plans().stream().filter(p -> p.name().equals(v.plan()) && p.limit() > 0).forEach(p -> limits.put(v
-          .name(), new Figures.Limit(p.limit(), p.limitBurst(), p.limitSlack())));
+      d.plans()
+          .stream()
+          .filter(p -> p.name().equals(v.plan()) && p.limit() > 0)
+          .forEach(p -> limits.put(v.name(), new Figures.Limit(p.limit(), p.limitBurst(), p.limitSlack())));
       for (int i = 0; i < v.extents().size(); i++) {
         var e = v.extents().get(i);
         areas.add(new Figures.Area(v.name(), "shard-" + e.shard(), e.offset(), e.offset() + v.extentBytes()));
--- a/src/main/java/hollyslip/load/RingBench.java
+++ b/src/main/java/hollyslip/load/RingBench.java
@@ -51,7 +51,8 @@
     public Node(String name) throws IOException {
       process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
           System.getProperty("java.class.path"), "hollyslip.cli.Main", "standin", "--name", name)
-          .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+          .redirectError(ProcessBuilder.Redirect.INHERIT)
+          .start();
       BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
           StandardCharsets.UTF_8));
       address = new InetSocketAddress("127.0.0.1", Integer.parseInt(out.readLine().split(" ")[1]));
--- a/src/main/java/hollyslip/load/RingClient.java
+++ b/src/main/java/hollyslip/load/RingClient.java
@@ -154,7 +154,11 @@
     if (options.inflight()) {
       shareInflight();
     }
-    ByteBuffer table = little(8 + 32).putInt(1).putInt(0).putLong(GUEST).putLong(memoryBytes).putLong(USER)
+    ByteBuffer table = little(8 + 32).putInt(1)
+        .putInt(0)
+        .putLong(GUEST)
+        .putLong(memoryBytes)
+        .putLong(USER)
         .putLong(0);
     tell(Wire.SET_MEM_TABLE, table.array(), memory);
     for (Queue q : queues) {
@@ -163,8 +167,10 @@
   }
 
   private void shareInflight() throws IOException {
-    ByteBuffer p = little(24).putLong(0).putLong(0).putShort((short) queues.length).putShort((short) options
-        .size());
+    ByteBuffer p = little(24).putLong(0)
+        .putLong(0)
+        .putShort((short) queues.length)
+        .putShort((short) options.size());
     if (inflightFd >= 0) {
       tell(Wire.SET_INFLIGHT_FD, inflightState, inflightFd);
       return;
@@ -181,8 +187,13 @@
     tell(Wire.SET_VRING_NUM, Wire.state(q.index, options.size()));
     // After a back end's death all that is not answered is asked again: the index of the used ring.
     tell(Wire.SET_VRING_BASE, Wire.state(q.index, Short.toUnsignedInt(q.used.getShort(2))));
-    tell(Wire.SET_VRING_ADDR, little(40).putInt(q.index).putInt(0).putLong(USER + q.at).putLong(USER + q
-        .usedAt()).putLong(USER + q.at + 16L * options.size()).putLong(0).array());
+    tell(Wire.SET_VRING_ADDR, little(40).putInt(q.index)
+        .putInt(0)
+        .putLong(USER + q.at)
+        .putLong(USER + q.usedAt())
+        .putLong(USER + q.at + 16L * options.size())
+        .putLong(0)
+        .array());
     tell(Wire.SET_VRING_CALL, Wire.u64(q.index), q.call);
     tell(Wire.SET_VRING_KICK, Wire.u64(q.index), q.kick);
     tell(Wire.SET_VRING_ENABLE, Wire.state(q.index, 1));
@@ -247,8 +258,8 @@
         want += m.getInt(8);
       }
     }
-    return new Reply(ByteBuffer.wrap(m.getByteArray(Wire.HEADER, want - Wire.HEADER)).order(
-        ByteOrder.LITTLE_ENDIAN), fd);
+    return new Reply(ByteBuffer.wrap(m.getByteArray(Wire.HEADER, want - Wire.HEADER))
+        .order(ByteOrder.LITTLE_ENDIAN), fd);
   }
 
   public Queue queue(int i) {
@@ -308,8 +319,10 @@
 
   /** Writes one descriptor. */
   public static void describe(ByteBuffer table, int i, long address, int length, int flags, int next) {
-    table.putLong(16 * i, address).putInt(16 * i + 8, length).putShort(16 * i + 12, (short) flags).putShort(16
-        * i + 14, (short) next);
+    table.putLong(16 * i, address)
+        .putInt(16 * i + 8, length)
+        .putShort(16 * i + 12, (short) flags)
+        .putShort(16 * i + 14, (short) next);
   }
 
   /** Makes a head available. */
--- a/src/main/java/hollyslip/node/NbdConnection.java
+++ b/src/main/java/hollyslip/node/NbdConnection.java
@@ -213,8 +213,14 @@
       close(why);
       return;
     }
-    ByteBuffer bye = ByteBuffer.allocate(HEADER).putInt(Nbd.REQUEST).putShort((short) 0).putShort(
-        (short) Nbd.CMD_DISC).putLong(0).putLong(0).putInt(0).flip();
+    ByteBuffer bye = ByteBuffer.allocate(HEADER)
+        .putInt(Nbd.REQUEST)
+        .putShort((short) 0)
+        .putShort((short) Nbd.CMD_DISC)
+        .putLong(0)
+        .putLong(0)
+        .putInt(0)
+        .flip();
     channel.write(bye, null, new Handler<Integer, Void>() {
       @Override
       public void completed(Integer n, Void none) {
@@ -304,8 +310,12 @@
   }
 
   private void header(int commandFlags, int command, long cookie, long offset, int length) {
-    headers.putInt(Nbd.REQUEST).putShort((short) commandFlags).putShort((short) command).putLong(cookie)
-        .putLong(offset).putInt(length);
+    headers.putInt(Nbd.REQUEST)
+        .putShort((short) commandFlags)
+        .putShort((short) command)
+        .putLong(cookie)
+        .putLong(offset)
+        .putInt(length);
   }
 
   private static int command(IoKind kind) {
--- a/src/main/java/hollyslip/node/NbdHandshake.java
+++ b/src/main/java/hollyslip/node/NbdHandshake.java
@@ -180,7 +180,8 @@
 
   private void sendContexts() {
     byte[] name = export.getBytes(StandardCharsets.UTF_8);
-    ByteBuffer d = ByteBuffer.allocate(8 + name.length + contexts.stream().mapToInt(c -> 4 + c.length())
+    ByteBuffer d = ByteBuffer.allocate(8 + name.length + contexts.stream()
+        .mapToInt(c -> 4 + c.length())
         .sum());
     d.putInt(name.length).put(name).putInt(contexts.size());
     for (String c : contexts) {
--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -160,8 +160,10 @@
       c.connect(t.address.at());
       return c;
     } catch (IOException e) {
-      LOG.atWarn().addKeyValue("node", t.address.name()).addKeyValue("why", e.getMessage()).log(
-          "node.connection.failed");
+      LOG.atWarn()
+          .addKeyValue("node", t.address.name())
+          .addKeyValue("why", e.getMessage())
+          .log("node.connection.failed");
       return null;
     }
   }
@@ -179,8 +181,11 @@
     Target t = targets.get(attempt.node());
     NbdConnection c = carriers.get(attempt);
     if (c != null) {
-      LOG.atInfo().addKeyValue("node", t.address.name()).addKeyValue("connection", c.fence.serial())
-          .addKeyValue("request", attempt.request()).log("node.fenced");
+      LOG.atInfo()
+          .addKeyValue("node", t.address.name())
+          .addKeyValue("connection", c.fence.serial())
+          .addKeyValue("request", attempt.request())
+          .log("node.fenced");
       c.close("fenced: a newer write waits");
     } else if (t != null && !t.doubts.isEmpty()) {
       reopen(t);
@@ -228,8 +233,10 @@
 
   private void opened(NbdConnection c, long[] load) {
     Target t = targets.get(c.node);
-    LOG.atDebug().addKeyValue("node", t.address.name()).addKeyValue("connection", c.fence.serial()).log(
-        "node.connected");
+    LOG.atDebug()
+        .addKeyValue("node", t.address.name())
+        .addKeyValue("connection", c.fence.serial())
+        .log("node.connected");
     boolean fresh = load.length > 0 && news.started(c.node, load[Nbd.Load.BOOT.ordinal()],
         load[Nbd.Load.AGE_MS.ordinal()] * 1_000);
     if (fresh) {
@@ -291,8 +298,12 @@
     Target t = targets.get(c.node);
     t.connections.remove(c);
     if (!closing) {
-      LOG.atInfo().addKeyValue("node", t.address.name()).addKeyValue("connection", c.fence.serial())
-          .addKeyValue("waiting", waiting.size()).addKeyValue("sent", sent.size()).addKeyValue("why", why)
+      LOG.atInfo()
+          .addKeyValue("node", t.address.name())
+          .addKeyValue("connection", c.fence.serial())
+          .addKeyValue("waiting", waiting.size())
+          .addKeyValue("sent", sent.size())
+          .addKeyValue("why", why)
           .log("node.disconnected");
     }
     waiting.forEach(a -> over(a, Result.CONNECT_FAILED));
--- a/src/main/java/hollyslip/settings/Builtins.java
+++ b/src/main/java/hollyslip/settings/Builtins.java
@@ -168,8 +168,10 @@
       return i.tuple ? "(" + inner + (i.all.size() == 1 ? ",)" : ")") : "[" + inner + "]";
     }
     if (v instanceof Dict d) {
-      return "{" + String.join(", ", d.all.entrySet().stream().map(e -> repr(e.getKey()) + ": " + repr(e
-          .getValue())).toList()) + "}";
+      return "{" + String.join(", ", d.all.entrySet()
+          .stream()
+          .map(e -> repr(e.getKey()) + ": " + repr(e.getValue()))
+          .toList()) + "}";
     }
     return v instanceof Callable ? "<function>" : v.toString();
   }
@@ -209,7 +211,9 @@
       case "strip" -> (p, a, n) -> s.strip();
       case "startswith" -> one(name, (p, v) -> s.startsWith(text(v)));
       case "endswith" -> one(name, (p, v) -> s.endsWith(text(v)));
-      case "join" -> one(name, (p, v) -> String.join(s, Operators.items(p, v).stream().map(Builtins::text)
+      case "join" -> one(name, (p, v) -> String.join(s, Operators.items(p, v)
+          .stream()
+          .map(Builtins::text)
           .toList()));
       case "split" -> one(name, (p, v) -> {
         if (text(v).isEmpty()) {
--- a/src/main/java/hollyslip/settings/Loader.java
+++ b/src/main/java/hollyslip/settings/Loader.java
@@ -258,14 +258,17 @@
       rows.add(row(c));
     });
     List<Plan> plans = new ArrayList<>();
-    all.get("plan").forEach(p -> plans.add(new Plan(p.get("name").asText(), p.get("rate").asDouble(), p.get(
-        "reserve").asDouble(), p.get("weight").asDouble(), p.get("price").asDouble(), p.get("limit")
-            .asDouble(), p.get("limit_burst").asDouble(), p.get("limit_slack").asDouble())));
+    all.get("plan")
+        .forEach(p -> plans.add(new Plan(p.get("name").asText(), p.get("rate").asDouble(), p.get("reserve")
+            .asDouble(), p.get("weight").asDouble(), p.get("price").asDouble(), p.get("limit").asDouble(), p
+                .get("limit_burst")
+                .asDouble(), p.get("limit_slack").asDouble())));
     List<Deployment.Node> nodes = new ArrayList<>();
-    all.get("node").forEach(n -> nodes.add(new Deployment.Node(n.path("id").asLong(nodes.size() + 1), n.get(
-        "name").asText(), n.get("host").asText(), n.get("port").asInt(), n.get("zone").asText(), n.get(
-            "shard").asInt(), NodeState.valueOf(n.get("state").asText().toUpperCase(Locale.ROOT)), n.get(
-                "capacity").asDouble(), n.get("bytes").asLong())));
+    all.get("node")
+        .forEach(n -> nodes.add(new Deployment.Node(n.path("id").asLong(nodes.size() + 1), n.get("name")
+            .asText(), n.get("host").asText(), n.get("port").asInt(), n.get("zone").asText(), n.get("shard")
+                .asInt(), NodeState.valueOf(n.get("state").asText().toUpperCase(Locale.ROOT)), n.get(
+                    "capacity").asDouble(), n.get("bytes").asLong())));
     Deployment.Process gateway = process(all.at("/gateway/0"), dir);
     List<Volume> volumes = new ArrayList<>();
     all.get("volume").forEach(v -> volumes.add(volume(v, volumes.size() + 1, gateway.hosts())));
@@ -283,11 +286,11 @@
 
   private static Deployment.Process process(JsonNode g, Path dir) {
     return new Deployment.Process(g.get("name").asText(), g.get("index").asInt(), g.get("hosts").asInt(), g
-        .get("zone").asText(), dir.resolve(g.get("socket_dir").asText()), dir.resolve(g.get("state_dir")
-            .asText()), g.get("seed").asLong(), g.get("tick").asLong(), g.get("unit_bytes").asLong(), g.get(
-                "most_requests").asLong(), g.get("most_bytes").asLong(), g.get("connections").asInt(), g.get(
-                    "per_connection").asInt(), g.get("io_threads").asInt(), g.get("sftp").asBoolean(),
-        hosting(g, dir));
+        .get("zone")
+        .asText(), dir.resolve(g.get("socket_dir").asText()), dir.resolve(g.get("state_dir").asText()), g.get(
+            "seed").asLong(), g.get("tick").asLong(), g.get("unit_bytes").asLong(), g.get("most_requests")
+                .asLong(), g.get("most_bytes").asLong(), g.get("connections").asInt(), g.get("per_connection")
+                    .asInt(), g.get("io_threads").asInt(), g.get("sftp").asBoolean(), hosting(g, dir));
   }
 
   private static Deployment.Hosting hosting(JsonNode g, Path dir) {
@@ -303,10 +306,11 @@
     Set<String> kinds = new HashSet<>();
     c.get("kinds").forEach(k -> kinds.add(k.asText()));
     boolean write = kinds.contains("write");
-    return new RequestClass(c.get("name").asText(), Effect.valueOf(c.get("effect").asText().toUpperCase(
-        Locale.ROOT)), Group.valueOf(c.get("group").asText().toUpperCase(Locale.ROOT)), c.get("window")
-            .asLong(), c.get("aim").asLong(), c.get("deadline").asLong(), c.get("worth").asDouble(), c.get(
-                "late_worth").asDouble(), c.get("in_order").asBoolean(), write);
+    return new RequestClass(c.get("name").asText(), Effect.valueOf(c.get("effect")
+        .asText()
+        .toUpperCase(Locale.ROOT)), Group.valueOf(c.get("group").asText().toUpperCase(Locale.ROOT)), c.get(
+            "window").asLong(), c.get("aim").asLong(), c.get("deadline").asLong(), c.get("worth").asDouble(),
+        c.get("late_worth").asDouble(), c.get("in_order").asBoolean(), write);
   }
 
   private static Classifier.Row row(JsonNode c) {
--- a/src/main/java/hollyslip/settings/Parser.java
+++ b/src/main/java/hollyslip/settings/Parser.java
@@ -362,7 +362,8 @@
     List<Argument> all = new ArrayList<>();
     while (!accept(")")) {
       boolean named = peek().kind() == Kind.NAME && tokens.get(at + 1).kind() == Kind.OP && tokens.get(at + 1)
-          .text().equals("=");
+          .text()
+          .equals("=");
       if (named) {
         String name = name();
         next();
--- a/src/main/java/hollyslip/settings/Script.java
+++ b/src/main/java/hollyslip/settings/Script.java
@@ -144,9 +144,9 @@
   static List<Fault> sorted(List<Fault> faults) {
     List<Fault> all = new ArrayList<>(faults);
     all.sort(java.util.Comparator.comparing((Fault f) -> f.place() == null ? "" : f.place().file())
-        .thenComparing(f -> f.place() == null ? 0 : f.place().line()).thenComparing(f -> f.place() == null
-            ? 0
-            : f.place().column()).thenComparing(Fault::what));
+        .thenComparing(f -> f.place() == null ? 0 : f.place().line())
+        .thenComparing(f -> f.place() == null ? 0 : f.place().column())
+        .thenComparing(Fault::what));
     return all;
   }
 }
--- a/src/main/java/hollyslip/standin/DiskServer.java
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -434,8 +434,10 @@
     }
 
     private boolean negotiate() throws IOException {
-      ByteBuffer hello = ByteBuffer.allocate(18).putLong(Nbd.MAGIC).putLong(Nbd.IHAVEOPT).putShort(
-          (short) (Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES));
+      ByteBuffer hello = ByteBuffer.allocate(18)
+          .putLong(Nbd.MAGIC)
+          .putLong(Nbd.IHAVEOPT)
+          .putShort((short) (Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES));
       send(hello.array());
       int flags = in.readInt();
       while (true) {
@@ -487,8 +489,11 @@
             return false;
           }
           Memory m = memory(name);
-          reply(option, Nbd.REP_INFO, ByteBuffer.allocate(12).putShort((short) Nbd.INFO_EXPORT).putLong(config
-              .shardBytes()).putShort(flags()).array());
+          reply(option, Nbd.REP_INFO, ByteBuffer.allocate(12)
+              .putShort((short) Nbd.INFO_EXPORT)
+              .putLong(config.shardBytes())
+              .putShort(flags())
+              .array());
           reply(option, Nbd.REP_ACK, new byte[0]);
           if (option == Nbd.OPT_GO) {
             memory = m;
@@ -522,7 +527,9 @@
           int id = f != null ? 2 : 1;
           contexts.put(id, query);
           byte[] name = query.getBytes(StandardCharsets.US_ASCII);
-          reply(option, Nbd.REP_META_CONTEXT, ByteBuffer.allocate(4 + name.length).putInt(id).put(name)
+          reply(option, Nbd.REP_META_CONTEXT, ByteBuffer.allocate(4 + name.length)
+              .putInt(id)
+              .put(name)
               .array());
         }
       }
@@ -543,8 +550,13 @@
     }
 
     private void reply(int option, int type, byte[] data) throws IOException {
-      send(ByteBuffer.allocate(20 + data.length).putLong(Nbd.OPTION_REPLY).putInt(option).putInt(type).putInt(
-          data.length).put(data).array());
+      send(ByteBuffer.allocate(20 + data.length)
+          .putLong(Nbd.OPTION_REPLY)
+          .putInt(option)
+          .putInt(type)
+          .putInt(data.length)
+          .put(data)
+          .array());
     }
 
     private void serve() throws IOException {
@@ -596,8 +608,12 @@
                 held, config.model().baseUs()}
             : new long[]{0};
         ByteBuffer b = ByteBuffer.allocate(20 + 4 + 8 * values.length);
-        b.putInt(Nbd.STRUCTURED_REPLY).putShort((short) (id == last ? Nbd.CHUNK_DONE : 0)).putShort(
-            (short) Nbd.CHUNK_BLOCK_STATUS).putLong(cookie).putInt(4 + 8 * values.length).putInt(id);
+        b.putInt(Nbd.STRUCTURED_REPLY)
+            .putShort((short) (id == last ? Nbd.CHUNK_DONE : 0))
+            .putShort((short) Nbd.CHUNK_BLOCK_STATUS)
+            .putLong(cookie)
+            .putInt(4 + 8 * values.length)
+            .putInt(id);
         for (long v : values) {
           b.putInt(Nbd.LOAD_STEP).putInt((int) v);
         }
@@ -610,9 +626,15 @@
       byte[] m = message.getBytes(StandardCharsets.UTF_8);
       ByteBuffer b;
       if (structured) {
-        b = ByteBuffer.allocate(26 + m.length).putInt(Nbd.STRUCTURED_REPLY).putShort((short) Nbd.CHUNK_DONE)
-            .putShort((short) Nbd.CHUNK_ERROR).putLong(cookie).putInt(6 + m.length).putInt(error).putShort(
-                (short) m.length).put(m);
+        b = ByteBuffer.allocate(26 + m.length)
+            .putInt(Nbd.STRUCTURED_REPLY)
+            .putShort((short) Nbd.CHUNK_DONE)
+            .putShort((short) Nbd.CHUNK_ERROR)
+            .putLong(cookie)
+            .putInt(6 + m.length)
+            .putInt(error)
+            .putShort((short) m.length)
+            .put(m);
       } else {
         b = ByteBuffer.allocate(16).putInt(Nbd.SIMPLE_REPLY).putInt(error).putLong(cookie);
       }
@@ -642,15 +664,20 @@
       int n = data == null ? 0 : data.length;
       int claimed = malice == Faults.Malice.OVERSIZE ? n + 512 : n;
       if (!structured) {
-        return ByteBuffer.allocate(16 + n).putInt(Nbd.SIMPLE_REPLY).putInt(0).putLong(cookie).put(data == null
-            ? new byte[0]
-            : data).array();
+        return ByteBuffer.allocate(16 + n)
+            .putInt(Nbd.SIMPLE_REPLY)
+            .putInt(0)
+            .putLong(cookie)
+            .put(data == null ? new byte[0] : data)
+            .array();
       }
       int magic = malice == Faults.Malice.BAD_MAGIC ? 0x12345678 : Nbd.STRUCTURED_REPLY;
       ByteBuffer b = ByteBuffer.allocate(20 + (data == null ? 0 : 8 + claimed));
-      b.putInt(magic).putShort((short) Nbd.CHUNK_DONE).putShort((short) (data == null
-          ? Nbd.CHUNK_NONE
-          : Nbd.CHUNK_DATA)).putLong(cookie).putInt(data == null ? 0 : 8 + claimed);
+      b.putInt(magic)
+          .putShort((short) Nbd.CHUNK_DONE)
+          .putShort((short) (data == null ? Nbd.CHUNK_NONE : Nbd.CHUNK_DATA))
+          .putLong(cookie)
+          .putInt(data == null ? 0 : 8 + claimed);
       if (data != null) {
         b.putLong(malice == Faults.Malice.WRONG_OFFSET ? job.offset + 1 : job.offset).put(data);
       }
--- a/src/main/java/hollyslip/store/Snapshots.java
+++ b/src/main/java/hollyslip/store/Snapshots.java
@@ -37,8 +37,13 @@
     ByteBuffer b = ByteBuffer.allocate(HEADER + packed.length);
     CRC32C crc = new CRC32C();
     crc.update(packed);
-    b.putInt(MAGIC).putInt(VERSION).putLong(sequence).putLong(state.length).putInt((int) crc.getValue()).put(
-        packed).flip();
+    b.putInt(MAGIC)
+        .putInt(VERSION)
+        .putLong(sequence)
+        .putLong(state.length)
+        .putInt((int) crc.getValue())
+        .put(packed)
+        .flip();
     String name = name(sequence);
     disk.delete(name + HALF);
     try (Disk.Out out = disk.append(name + HALF)) {
--- a/src/main/java/hollyslip/tenant/Placement.java
+++ b/src/main/java/hollyslip/tenant/Placement.java
@@ -56,12 +56,16 @@
   List<Volume.Extent> place(int count, List<Volume.Extent> before) {
     Ledger.counts(before).forEach(this::note);
     List<Volume.Extent> placed = new ArrayList<>(count);
-    Comparator<Ledger.Account> order = Comparator.comparingDouble(this::crowd).thenComparingDouble(a -> -left(
-        a)).thenComparingInt(a -> onShard.getOrDefault(a.shard.number(), 0)).thenComparingInt(a -> a.shard
-            .number());
+    Comparator<Ledger.Account> order = Comparator.comparingDouble(this::crowd)
+        .thenComparingDouble(a -> -left(a))
+        .thenComparingInt(a -> onShard.getOrDefault(a.shard.number(), 0))
+        .thenComparingInt(a -> a.shard.number());
     for (int i = 0; i < count; i++) {
-      Ledger.Account best = ledger.accounts().stream().filter(a -> left(a) >= each && a.roomFor(size)).min(
-          order).orElse(null);
+      Ledger.Account best = ledger.accounts()
+          .stream()
+          .filter(a -> left(a) >= each && a.roomFor(size))
+          .min(order)
+          .orElse(null);
       if (best == null) {
         ledger.give(placed, size);
         throw noRoom(count, i);
--- a/src/main/java/hollyslip/tenant/Registrar.java
+++ b/src/main/java/hollyslip/tenant/Registrar.java
@@ -128,7 +128,8 @@
       throw Refusal.invalid("name", "a tenant's name cannot be changed");
     }
     Tenant next = new Tenant(old.id(), name, old.revision() + 1, Phase.ACTIVE, weight(wish), quota(wish, old
-        .quota().reserve()), members(wish));
+        .quota()
+        .reserve()), members(wish));
     within(registry.promised(old.id()), next.quota().reserve(), "quota.reserve", "reserves of its volumes");
     within(registry.bytes(old.id()), next.quota().bytes(), "quota.bytes", "bytes of its volumes");
     within(registry.volumeNames(old.id()).size(), next.quota().volumes(), "quota.volumes", "volumes");
@@ -375,8 +376,8 @@
 
     void move(HostedVolume v, double from, double to) {
       asked += to - from;
-      Ledger.counts(v.extents()).forEach((shard, n) -> moved.merge(shard, (to - from) * n / v.extents()
-          .size(), Double::sum));
+      Ledger.counts(v.extents())
+          .forEach((shard, n) -> moved.merge(shard, (to - from) * n / v.extents().size(), Double::sum));
     }
 
     /** Only what grows must fit: what a fleet that shrank has promised too much can always be lowered. */
--- a/src/test/java/hollyslip/ArchitectureTest.java
+++ b/src/test/java/hollyslip/ArchitectureTest.java
@@ -15,37 +15,89 @@
 
   @Test
   void arrowsPointInward() {
-    layeredArchitecture().consideringOnlyDependenciesInLayers().layer("module").definedBy("hollyslip").layer(
-        "volume").definedBy("hollyslip.volume").layer("recovery").definedBy("hollyslip.recovery").layer(
-            "engine").definedBy("hollyslip.engine").layer("fleet").definedBy("hollyslip.fleet").layer("node")
-        .definedBy("hollyslip.node").layer("front").definedBy("hollyslip.front..").layer("settings")
-        .definedBy("hollyslip.settings").layer("door").definedBy("hollyslip.door").layer("tenant").definedBy(
-            "hollyslip.tenant").layer("store").definedBy("hollyslip.store").layer("admin").definedBy(
-                "hollyslip.admin").layer("standin").definedBy("hollyslip.standin").layer("audit").definedBy(
-                    "hollyslip.audit").layer("load").definedBy("hollyslip.load").layer("cli").definedBy(
-                        "hollyslip.cli").whereLayer("engine").mayOnlyBeAccessedByLayers("front", "node",
-                            "load", "cli").whereLayer("front").mayOnlyBeAccessedByLayers("load", "cli")
-        .whereLayer("node").mayOnlyBeAccessedByLayers("standin", "audit", "load", "cli").whereLayer("fleet")
-        .mayOnlyBeAccessedByLayers("cli").whereLayer("settings").mayOnlyBeAccessedByLayers("load", "cli")
-        .whereLayer("standin").mayOnlyBeAccessedByLayers("audit", "load", "cli").whereLayer("audit")
-        .mayOnlyBeAccessedByLayers("load", "cli").whereLayer("load").mayOnlyBeAccessedByLayers("cli")
-        .whereLayer("cli").mayNotBeAccessedByAnyLayer().check(ALL);
+    layeredArchitecture().consideringOnlyDependenciesInLayers()
+        .layer("module")
+        .definedBy("hollyslip")
+        .layer("volume")
+        .definedBy("hollyslip.volume")
+        .layer("recovery")
+        .definedBy("hollyslip.recovery")
+        .layer("engine")
+        .definedBy("hollyslip.engine")
+        .layer("fleet")
+        .definedBy("hollyslip.fleet")
+        .layer("node")
+        .definedBy("hollyslip.node")
+        .layer("front")
+        .definedBy("hollyslip.front..")
+        .layer("settings")
+        .definedBy("hollyslip.settings")
+        .layer("door")
+        .definedBy("hollyslip.door")
+        .layer("tenant")
+        .definedBy("hollyslip.tenant")
+        .layer("store")
+        .definedBy("hollyslip.store")
+        .layer("admin")
+        .definedBy("hollyslip.admin")
+        .layer("standin")
+        .definedBy("hollyslip.standin")
+        .layer("audit")
+        .definedBy("hollyslip.audit")
+        .layer("load")
+        .definedBy("hollyslip.load")
+        .layer("cli")
+        .definedBy("hollyslip.cli")
+        .whereLayer("engine")
+        .mayOnlyBeAccessedByLayers("front", "node", "load", "cli")
+        .whereLayer("front")
+        .mayOnlyBeAccessedByLayers("load", "cli")
+        .whereLayer("node")
+        .mayOnlyBeAccessedByLayers("standin", "audit", "load", "cli")
+        .whereLayer("fleet")
+        .mayOnlyBeAccessedByLayers("cli")
+        .whereLayer("settings")
+        .mayOnlyBeAccessedByLayers("load", "cli")
+        .whereLayer("standin")
+        .mayOnlyBeAccessedByLayers("audit", "load", "cli")
+        .whereLayer("audit")
+        .mayOnlyBeAccessedByLayers("load", "cli")
+        .whereLayer("load")
+        .mayOnlyBeAccessedByLayers("cli")
+        .whereLayer("cli")
+        .mayNotBeAccessedByAnyLayer()
+        .check(ALL);
   }
 
   @Test
   void theModuleKnowsNothingOfWhatIsRoundIt() {
-    ArchRuleDefinition.noClasses().that().resideInAPackage("hollyslip").should().dependOnClassesThat()
-        .resideInAnyPackage("hollyslip.*..").check(ALL);
+    ArchRuleDefinition.noClasses()
+        .that()
+        .resideInAPackage("hollyslip")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("hollyslip.*..")
+        .check(ALL);
   }
 
   /** What decides is free of I/O, clock and threads. */
   @Test
   void decisionsDoNoIo() {
-    ArchRuleDefinition.noClasses().that().resideInAnyPackage("hollyslip.volume", "hollyslip.fleet",
-        "hollyslip.tenant", "hollyslip.door").or().haveFullyQualifiedName("hollyslip.Choice").or()
-        .haveFullyQualifiedName("hollyslip.engine.RangeLocks").or().haveFullyQualifiedName(
-            "hollyslip.engine.Verdict").or().haveFullyQualifiedName("hollyslip.recovery.InflightLog").should()
-        .dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio.channels..", "java.nio.file..",
-            "java.net..", "java.util.concurrent.locks..").check(ALL);
+    ArchRuleDefinition.noClasses()
+        .that()
+        .resideInAnyPackage("hollyslip.volume", "hollyslip.fleet", "hollyslip.tenant", "hollyslip.door")
+        .or()
+        .haveFullyQualifiedName("hollyslip.Choice")
+        .or()
+        .haveFullyQualifiedName("hollyslip.engine.RangeLocks")
+        .or()
+        .haveFullyQualifiedName("hollyslip.engine.Verdict")
+        .or()
+        .haveFullyQualifiedName("hollyslip.recovery.InflightLog")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("java.io..", "java.nio.channels..", "java.nio.file..", "java.net..",
+            "java.util.concurrent.locks..")
+        .check(ALL);
   }
 }
--- a/src/test/java/hollyslip/RandomStreamsTest.java
+++ b/src/test/java/hollyslip/RandomStreamsTest.java
@@ -52,8 +52,11 @@
       } else if (dice < 81) {
         audit.restart(nodes);
       } else if (dice < 83) {
-        audit.seen.values().stream().filter(s -> !s.answered).findFirst().ifPresent(s -> audit.depart(
-            s.request.id()));
+        audit.seen.values()
+            .stream()
+            .filter(s -> !s.answered)
+            .findFirst()
+            .ifPresent(s -> audit.depart(s.request.id()));
       }
       audit.advance(audit.now + random.nextInt(dice > 95 ? 400_000 : 15_000));
     }
--- a/src/test/java/hollyslip/RuleAudit.java
+++ b/src/test/java/hollyslip/RuleAudit.java
@@ -102,7 +102,10 @@
 
   void request(Request r) {
     taken.add(now);
-    RequestClass c = settings.classes().stream().filter(k -> k.name().equals(r.className())).findFirst()
+    RequestClass c = settings.classes()
+        .stream()
+        .filter(k -> k.name().equals(r.className()))
+        .findFirst()
         .orElse(null);
     seen.put(r.id(), new Seen(r, c, now));
     feed(r);
@@ -257,8 +260,8 @@
       if (other == s) {
         break;
       }
-      boolean same = other.rules != null && other.rules.inOrder() && s.request.key().equals(other.request
-          .key());
+      boolean same = other.rules != null && other.rules.inOrder() && s.request.key()
+          .equals(other.request.key());
       if (same && (!other.answered || other.open())) {
         breach("out of order", s.request.id());
       }
--- a/src/test/java/hollyslip/Worlds.java
+++ b/src/test/java/hollyslip/Worlds.java
@@ -51,8 +51,11 @@
 
   static Request request(long id, String className, String plan, Long key, long volume, double units,
       int shard) {
-    long remaining = classes().stream().filter(c -> c.name().equals(className)).mapToLong(
-        RequestClass::deadlineUs).findFirst().orElse(1_000_000);
+    long remaining = classes().stream()
+        .filter(c -> c.name().equals(className))
+        .mapToLong(RequestClass::deadlineUs)
+        .findFirst()
+        .orElse(1_000_000);
     return new Request(id, className, plan, key, volume, units, shard, 2, remaining, false);
   }
 }
--- a/src/test/java/hollyslip/admin/AdminTest.java
+++ b/src/test/java/hollyslip/admin/AdminTest.java
@@ -119,7 +119,8 @@
       }
       HttpResponse<String> r = http.send(b.build(), HttpResponse.BodyHandlers.ofString());
       return new Got(r.statusCode(), r.body().isEmpty() ? null : Views.JSON.readTree(r.body()), r.headers()
-          .firstValue("ETag").orElse(null), r.headers().firstValue("Location").orElse(null));
+          .firstValue("ETag")
+          .orElse(null), r.headers().firstValue("Location").orElse(null));
     } catch (IOException e) {
       throw new java.io.UncheckedIOException(e);
     } catch (InterruptedException e) {
@@ -174,8 +175,9 @@
       SplittableRandom random = new SplittableRandom(who);
       both.add(new Thread(() -> {
         for (int i = 0; i < 500; i++) {
-          late.addAndGet(insist("/v1/tenants/lee", random, old -> Views.JSON.createObjectNode().set("quota",
-              Views.JSON.createObjectNode().put("volumes", old.at("/quota/volumes").asInt() + 1))));
+          late.addAndGet(insist("/v1/tenants/lee", random, old -> Views.JSON.createObjectNode()
+              .set("quota", Views.JSON.createObjectNode()
+                  .put("volumes", old.at("/quota/volumes").asInt() + 1))));
         }
       }));
     }
@@ -262,8 +264,13 @@
     assertEquals(200, call(token, "PATCH", "/v1/tenants/lee", "{\"members\":{\"ann\":1001}}", "If-Match",
         "*").status);
     for (OpenApi.Route r : OpenApi.routes(new Api(control))) {
-      String path = r.path().replace("{plan}", "gold").replace("{tenant}", "shannon").replace("{volume}",
-          "orders").replace("{node}", "n0").replace("{task}", "1").replace("{token}", "x");
+      String path = r.path()
+          .replace("{plan}", "gold")
+          .replace("{tenant}", "shannon")
+          .replace("{volume}", "orders")
+          .replace("{node}", "n0")
+          .replace("{task}", "1")
+          .replace("{token}", "x");
       if (path.equals("/v1/audit")) {
         continue;
       }
@@ -272,8 +279,8 @@
       assertEquals(404, call(token, r.method(), path.replace("shannon", "nobody"), body, "If-Match",
           "*").status);
     }
-    call(token, "GET", "/v1/audit", null).body.get("items").forEach(t -> assertTrue(t.get("target").asText()
-        .startsWith("/v1/tenants/lee"), t::toString));
+    call(token, "GET", "/v1/audit", null).body.get("items")
+        .forEach(t -> assertTrue(t.get("target").asText().startsWith("/v1/tenants/lee"), t::toString));
     assertEquals(204, ask("DELETE", "/v1/tokens/" + token.substring(0, token.indexOf('.')), null).status);
     assertEquals(401, call(token, "GET", "/v1/tenants/lee", null).status);
   }
@@ -346,8 +353,8 @@
     world();
     LinkedBlockingQueue<String> events = new LinkedBlockingQueue<>();
     http.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.port() + "/v1/events"))
-        .header("Authorization", "Bearer " + operator).build(), HttpResponse.BodyHandlers.ofLines())
-        .thenAccept(r -> r.body().forEach(events::add));
+        .header("Authorization", "Bearer " + operator)
+        .build(), HttpResponse.BodyHandlers.ofLines()).thenAccept(r -> r.body().forEach(events::add));
     assertEquals(": begin", events.poll(10, TimeUnit.SECONDS));
     Got begun = ask("DELETE", "/v1/tenants/lee", null, "If-Match", "\"1\"");
     assertEquals(202, begun.status);
@@ -366,8 +373,9 @@
     start();
     assertEquals("running", ask("GET", begun.location, null).body.get("state").asText());
     hands.drained.complete(null);
-    Awaitility.await().atMost(20, TimeUnit.SECONDS).until(() -> ask("GET", begun.location, null).body.get(
-        "state").asText().equals("done"));
+    Awaitility.await()
+        .atMost(20, TimeUnit.SECONDS)
+        .until(() -> ask("GET", begun.location, null).body.get("state").asText().equals("done"));
     assertEquals(404, ask("GET", "/v1/tenants/lee", null).status);
     assertEquals(200, ask("GET", "/v1/tenants/shannon/volumes/orders", null).status);
     JsonNode used = ask("GET", "/v1/tenants/shannon", null).body.get("used");
@@ -393,7 +401,9 @@
     Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "keytool").toString(),
         "-genkeypair", "-alias", "k", "-keyalg", "EC", "-dname", "CN=" + name, "-ext", "san=dns:localhost",
         "-validity", "3650", "-storetype", "PKCS12", "-keystore", store.toString(), "-storepass", "changeit")
-        .redirectErrorStream(true).redirectOutput(dir.resolve(name + ".log").toFile()).start();
+        .redirectErrorStream(true)
+        .redirectOutput(dir.resolve(name + ".log").toFile())
+        .start();
     assertEquals(0, p.waitFor());
     KeyStore ks = KeyStore.getInstance(store.toFile(), "changeit".toCharArray());
     Files.writeString(key, pem("PRIVATE KEY", ks.getKey("k", "changeit".toCharArray()).getEncoded()));
@@ -401,8 +411,8 @@
   }
 
   private static String pem(String what, byte[] bytes) {
-    return "-----BEGIN " + what + "-----\n" + Base64.getMimeEncoder(64, new byte[]{'\n'}).encodeToString(
-        bytes) + "\n-----END " + what + "-----\n";
+    return "-----BEGIN " + what + "-----\n" + Base64.getMimeEncoder(64, new byte[]{'\n'})
+        .encodeToString(bytes) + "\n-----END " + what + "-----\n";
   }
 
   private ApiClient over(int port, Path trusted) {
--- a/src/test/java/hollyslip/audit/AuditorTest.java
+++ b/src/test/java/hollyslip/audit/AuditorTest.java
@@ -110,8 +110,11 @@
     assertEquals(List.of(), check().breaches());
     commands.add(new Command("n", 1, "g/1", 1, 5 << 12, "shard-0", Nbd.CMD_WRITE, 4096 * 5, 4096, 605_000,
         5_100_000, 1005, Command.Result.DONE));
-    assertTrue(check().breaches().stream().anyMatch(b -> b.rule() == Rule.NO_EFFECT_TWICE && b.what()
-        .contains("newer write")), check().breaches().toString());
+    assertTrue(check().breaches()
+        .stream()
+        .anyMatch(b -> b.rule() == Rule.NO_EFFECT_TWICE && b.what().contains("newer write")), check()
+            .breaches()
+            .toString());
   }
 
   @Test
--- a/src/test/java/hollyslip/e2e/HardCasesTest.java
+++ b/src/test/java/hollyslip/e2e/HardCasesTest.java
@@ -66,7 +66,9 @@
       until(() -> run.loads.get(0).asked() > 1_200);
       site.disks.get(1).faults.clear();
       run.join();
-      assertEquals(10_000, run.asked().stream().filter(a -> !a.client().equals("leaver") && a.answers() == 1)
+      assertEquals(10_000, run.asked()
+          .stream()
+          .filter(a -> !a.client().equals("leaver") && a.answers() == 1)
           .count());
       assertEquals(List.of(), run.audit().breaches());
       assertEquals(List.of(), run.wrong());
@@ -74,7 +76,11 @@
           Asked.Answer.FAILED) > 0, "answers of each kind");
       assertTrue(run.audit().checked().get(Rule.NO_EFFECT_TWICE) > 1_000);
       assertTrue(run.asked().stream().anyMatch(Asked::left));
-      long lastAtDrained = site.disks.get(2).commands().stream().mapToLong(c -> c.receivedUs()).max()
+      long lastAtDrained = site.disks.get(2)
+          .commands()
+          .stream()
+          .mapToLong(c -> c.receivedUs())
+          .max()
           .orElseThrow();
       assertTrue(lastAtDrained <= at + 1_000_000, "last command " + (lastAtDrained - at)
           + " us after the word");
@@ -87,7 +93,8 @@
   @ValueSource(booleans = {true, false})
   void aLateWriteNeverLandsOnANewerOne(boolean fences) throws Exception {
     try (Site site = new Site(dir, 1, i -> new DiskServer.Config("disk-0", Site.SHARD_BYTES, DiskServer.Config
-        .plain("", 1, true).model(), 1, 3_600_000_000L, fences, true));
+        .plain("", 1, true)
+        .model(), 1, 3_600_000_000L, fences, true));
         RingClient client = new RingClient(RingClient.Options.usual(1, 16, 4096))) {
       site.deadlineUs = 800_000;
       client.connect(site.gateway().socket("stock"));
@@ -266,8 +273,9 @@
       }
       assertEquals(List.of(), run.audit().breaches());
       assertEquals(List.of(), run.wrong());
-      assertTrue(run.audit().checked().get(Rule.LIMITS_KEPT) > 500 && run.audit().checked().get(
-          Rule.NO_COLD_NODE_PUSHED) > 20, run.audit().checked().toString());
+      assertTrue(run.audit().checked().get(Rule.LIMITS_KEPT) > 500 && run.audit()
+          .checked()
+          .get(Rule.NO_COLD_NODE_PUSHED) > 20, run.audit().checked().toString());
     }
   }
 }
--- a/src/test/java/hollyslip/e2e/HostedTest.java
+++ b/src/test/java/hollyslip/e2e/HostedTest.java
@@ -71,7 +71,9 @@
         + "','quota':{'reserve':1000,'bytes':8388608},'members':{'me':" + me() + "}}");
     ask(api, "POST", "/v1/tenants/" + name + "/volumes", "{'name':'v','plan':'" + plan
         + "','bytes':1048576,'extent_bytes':65536}");
-    until(() -> ask(api, "GET", "/v1/tenants/" + name + "/volumes/v", null).body().get("phase").asText()
+    until(() -> ask(api, "GET", "/v1/tenants/" + name + "/volumes/v", null).body()
+        .get("phase")
+        .asText()
         .equals("active"));
   }
 
@@ -176,9 +178,11 @@
         }
         List<Volume.Extent> extents = g.engine().volumes().get("b/v").extents();
         long[] units = new long[2];
-        site.disks.stream().flatMap(d -> d.commands().stream()).filter(c -> c.doneUs() >= from && c
-            .doneUs() <= to).forEach(c -> units[extents.contains(new Volume.Extent(Integer.parseInt(c.export()
-                .substring(6)), c.offset() / 65536 * 65536)) ? 1 : 0]++);
+        site.disks.stream()
+            .flatMap(d -> d.commands().stream())
+            .filter(c -> c.doneUs() >= from && c.doneUs() <= to)
+            .forEach(c -> units[extents.contains(new Volume.Extent(Integer.parseInt(c.export().substring(6)),
+                c.offset() / 65536 * 65536)) ? 1 : 0]++);
         assertTrue(units[1] >= 0.4 * (units[0] + units[1]), units[1] + " beside " + units[0]);
       }
     }
@@ -285,8 +289,10 @@
         }
         for (int i = 0; i < 2; i++) {
           List<Volume.Extent> extents = g.engine().volumes().get(List.of("b/v", "c/v").get(i)).extents();
-          figures[2 + i] = log.stream().filter(c -> c.doneUs() > 0 && extents.contains(new Volume.Extent(
-              Integer.parseInt(c.export().substring(6)), c.offset() / 65536 * 65536))).count();
+          figures[2 + i] = log.stream()
+              .filter(c -> c.doneUs() > 0 && extents.contains(new Volume.Extent(Integer.parseInt(c.export()
+                  .substring(6)), c.offset() / 65536 * 65536)))
+              .count();
           assertTrue(figures[2 + i] >= 1_000);
         }
         if (removed) {
@@ -343,8 +349,11 @@
           c.over = true;
           c.join(30_000);
         }
-        long[] at = site.disks.stream().flatMap(d -> d.commands().stream()).mapToLong(Command::receivedUs)
-            .sorted().toArray();
+        long[] at = site.disks.stream()
+            .flatMap(d -> d.commands().stream())
+            .mapToLong(Command::receivedUs)
+            .sorted()
+            .toArray();
         // A tenth of a second for what was sent before the change was told and had not arrived.
         assertTrue(most(at, lowered + 100_000, raised, 200, 20 + 20) <= 0, "lowered");
         assertTrue(most(at, 0, Long.MAX_VALUE, 2000, 200 + 20) <= 0, "throughout");
--- a/src/test/java/hollyslip/e2e/HostileClientTest.java
+++ b/src/test/java/hollyslip/e2e/HostileClientTest.java
@@ -127,9 +127,13 @@
       c.publish(q, 77);
       c.kick();
     });
-    evils.put("message too long", (c, q) -> c.sendRaw(little(12).putInt(1).putInt(1).putInt(1 << 20)
+    evils.put("message too long", (c, q) -> c.sendRaw(little(12).putInt(1)
+        .putInt(1)
+        .putInt(1 << 20)
         .array()));
-    evils.put("message of another version", (c, q) -> c.sendRaw(little(12).putInt(1).putInt(2).putInt(0)
+    evils.put("message of another version", (c, q) -> c.sendRaw(little(12).putInt(1)
+        .putInt(2)
+        .putInt(0)
         .array()));
     evils.put("reply not asked for", (c, q) -> c.send(Wire.GET_FEATURES, Wire.REPLY, new byte[0]));
     evils.put("unknown request", (c, q) -> c.send(99, 0, new byte[0]));
@@ -143,16 +147,33 @@
     evils.put("descriptors nobody asked for", (c, q) -> c.send(Wire.GET_FEATURES, 0, new byte[0], c
         .memoryFd(), c.memoryFd()));
     evils.put("region longer than its file", (c, q) -> c.send(Wire.ADD_MEM_REG, 0, little(40).putLong(0)
-        .putLong(1L << 40).putLong(1L << 30).putLong(0).putLong(0).array(), c.memoryFd()));
-    evils.put("region that overlaps", (c, q) -> c.send(Wire.ADD_MEM_REG, 0, little(40).putLong(0).putLong(
-        GUEST).putLong(4096).putLong(0).putLong(0).array(), c.memoryFd()));
-    evils.put("region that is not there", (c, q) -> c.send(Wire.REM_MEM_REG, 0, little(40).putLong(0).putLong(
-        1).putLong(1).putLong(1).putLong(0).array()));
+        .putLong(1L << 40)
+        .putLong(1L << 30)
+        .putLong(0)
+        .putLong(0)
+        .array(), c.memoryFd()));
+    evils.put("region that overlaps", (c, q) -> c.send(Wire.ADD_MEM_REG, 0, little(40).putLong(0)
+        .putLong(GUEST)
+        .putLong(4096)
+        .putLong(0)
+        .putLong(0)
+        .array(), c.memoryFd()));
+    evils.put("region that is not there", (c, q) -> c.send(Wire.REM_MEM_REG, 0, little(40).putLong(0)
+        .putLong(1)
+        .putLong(1)
+        .putLong(1)
+        .putLong(0)
+        .array()));
     evils.put("memory that goes while a ring runs in it", (c, q) -> c.send(Wire.SET_MEM_TABLE, 0, little(8)
-        .putLong(0).array()));
+        .putLong(0)
+        .array()));
     evils.put("configuration written", (c, q) -> c.send(Wire.SET_CONFIG, 0, new byte[16]));
     evils.put("inflight region while a ring runs", (c, q) -> c.send(Wire.SET_INFLIGHT_FD, 0, little(24)
-        .putLong(4096).putLong(0).putShort((short) 1).putShort((short) 16).array(), c.memoryFd()));
+        .putLong(4096)
+        .putLong(0)
+        .putShort((short) 1)
+        .putShort((short) 16)
+        .array(), c.memoryFd()));
     evils.put("half a message, then gone", (c, q) -> {
       c.sendRaw(new byte[]{1, 0, 0});
       c.detach();
@@ -162,8 +183,8 @@
       Linux.signal(kickOf(c));
     });
     for (Map.Entry<String, Evil> e : evils.entrySet()) {
-      if (e.getKey().equals("half a message, then gone") || e.getKey().equals(
-          "memory cut short while in use")) {
+      if (e.getKey().equals("half a message, then gone") || e.getKey()
+          .equals("memory cut short while in use")) {
         gone(e.getKey(), e.getValue());
       } else {
         stops(e.getKey(), e.getValue());
@@ -235,7 +256,11 @@
         assertEquals(99, bytes[0]);
       }
     }
-    assertTrue(site.disks.get(0).commands().stream().map(hollyslip.standin.Command::connection).distinct()
+    assertTrue(site.disks.get(0)
+        .commands()
+        .stream()
+        .map(hollyslip.standin.Command::connection)
+        .distinct()
         .count() <= 2, "no connection had to be made again");
     byte[] theirs = site.disks.get(0).read("shard-0", 0, 5 * 4096);
     for (byte b : theirs) {
--- a/src/test/java/hollyslip/e2e/RingNoiseTest.java
+++ b/src/test/java/hollyslip/e2e/RingNoiseTest.java
@@ -45,8 +45,10 @@
   @Provide
   Arbitrary<List<Message>> messages() {
     return Combinators.combine(Arbitraries.integers().between(0, 42), Arbitraries.integers().between(0, 15),
-        Arbitraries.bytes().array(byte[].class).ofMaxSize(64), Arbitraries.integers().between(0, 2)).as(
-            Message::new).list().ofMaxSize(8);
+        Arbitraries.bytes().array(byte[].class).ofMaxSize(64), Arbitraries.integers().between(0, 2))
+        .as(Message::new)
+        .list()
+        .ofMaxSize(8);
   }
 
   /** Words of a descriptor table: addresses near the memory or anywhere, lengths and flags. */
@@ -75,13 +77,17 @@
     } catch (IOException e) {
       // The device has stopped before all was sent: that is what it is for.
     }
-    Awaitility.await().atMost(20, TimeUnit.SECONDS).pollInterval(1, TimeUnit.MILLISECONDS).until(() -> gateway
-        .devices("stock") == 0 && Linux.mappings() <= mappings);
+    Awaitility.await()
+        .atMost(20, TimeUnit.SECONDS)
+        .pollInterval(1, TimeUnit.MILLISECONDS)
+        .until(() -> gateway.devices("stock") == 0 && Linux.mappings() <= mappings);
     try (RingClient honest = new RingClient(RingClient.Options.usual(1, 16, 4096))) {
       honest.connect(gateway.socket("orders"));
       assertEquals(0, Rings.one(honest, IoKind.READ, 0, 4096, new byte[4096]));
     }
-    Awaitility.await().atMost(20, TimeUnit.SECONDS).pollInterval(1, TimeUnit.MILLISECONDS).until(() -> gateway
-        .devices("orders") == 0);
+    Awaitility.await()
+        .atMost(20, TimeUnit.SECONDS)
+        .pollInterval(1, TimeUnit.MILLISECONDS)
+        .until(() -> gateway.devices("orders") == 0);
   }
 }
--- a/src/test/java/hollyslip/e2e/RingSpecTest.java
+++ b/src/test/java/hollyslip/e2e/RingSpecTest.java
@@ -47,8 +47,10 @@
       Path socket = site.gateway().socket("stock");
       try (RingClient c = client(false)) {
         c.connect(socket);
-        ByteBuffer ask = ByteBuffer.allocate(12 + 60).order(ByteOrder.LITTLE_ENDIAN).putInt(0, 0).putInt(4,
-            60);
+        ByteBuffer ask = ByteBuffer.allocate(12 + 60)
+            .order(ByteOrder.LITTLE_ENDIAN)
+            .putInt(0, 0)
+            .putInt(4, 60);
         ByteBuffer config = c.ask(Wire.GET_CONFIG, ask.array());
         assertEquals(Site.VOLUME_BYTES / 512, config.getLong(12));
         assertEquals(512, config.getInt(12 + 20));
@@ -70,8 +72,14 @@
   void memorySlotsAndAStoppedRing() throws Exception {
     try (Site site = new Site(dir, 1); RingClient c = client(true)) {
       c.connect(site.gateway().socket("stock"));
-      byte[] region = ByteBuffer.allocate(40).order(ByteOrder.LITTLE_ENDIAN).putLong(0).putLong(0x9000_0000L)
-          .putLong(4096).putLong(0x6000_0000_0000L).putLong(0).array();
+      byte[] region = ByteBuffer.allocate(40)
+          .order(ByteOrder.LITTLE_ENDIAN)
+          .putLong(0)
+          .putLong(0x9000_0000L)
+          .putLong(4096)
+          .putLong(0x6000_0000_0000L)
+          .putLong(0)
+          .array();
       c.tell(Wire.ADD_MEM_REG, region, c.memoryFd());
       c.tell(Wire.REM_MEM_REG, region);
       for (int i = 0; i < 5; i++) {
--- a/src/test/java/hollyslip/e2e/Site.java
+++ b/src/test/java/hollyslip/e2e/Site.java
@@ -63,7 +63,8 @@
             Long.MAX_VALUE));
     List<Deployment.Node> nodes = new ArrayList<>();
     for (int i = 0; i < disks.size(); i++) {
-      nodes.add(new Deployment.Node(100 + i, disks.get(i).name(), "127.0.0.1", disks.get(i).address()
+      nodes.add(new Deployment.Node(100 + i, disks.get(i).name(), "127.0.0.1", disks.get(i)
+          .address()
           .getPort(), "a", i, draining.contains(i) ? NodeState.DRAINING : NodeState.ON, capacity,
           SHARD_BYTES));
     }
@@ -104,7 +105,8 @@
                 .limitSlack()));
     for (int i = 0; i < disks.size(); i++) {
       s.append(String.format("node('%s', id = %d, port = %d, shard = %d, capacity = %s, bytes = %d)%n", disks
-          .get(i).name(), 100 + i, disks.get(i).address().getPort(), i, capacity, SHARD_BYTES));
+          .get(i)
+          .name(), 100 + i, disks.get(i).address().getPort(), i, capacity, SHARD_BYTES));
     }
     int id = 0;
     for (String v : List.of("stock", "orders", "capped")) {
--- a/src/test/java/hollyslip/load/DayTest.java
+++ b/src/test/java/hollyslip/load/DayTest.java
@@ -51,7 +51,8 @@
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     DayRunner.Result r = new DayRunner(Day.parse(SHORT), dir, new PrintStream(out), 500_000).play();
     assertTrue(r.kept(), r.audit().breaches() + " " + r.wrongReads() + " " + out);
-    assertTrue(r.audit().checked().values().stream().mapToLong(n -> n).sum() > 500, r.audit().checked()
+    assertTrue(r.audit().checked().values().stream().mapToLong(n -> n).sum() > 500, r.audit()
+        .checked()
         .toString());
   }
 }
--- a/src/test/java/hollyslip/node/NbdParsersTest.java
+++ b/src/test/java/hollyslip/node/NbdParsersTest.java
@@ -56,8 +56,14 @@
   }
 
   private static ByteBuffer chunk(int flags, int type, long cookie, byte[] body) {
-    return ByteBuffer.allocate(20 + body.length).putInt(Nbd.STRUCTURED_REPLY).putShort((short) flags)
-        .putShort((short) type).putLong(cookie).putInt(body.length).put(body).flip();
+    return ByteBuffer.allocate(20 + body.length)
+        .putInt(Nbd.STRUCTURED_REPLY)
+        .putShort((short) flags)
+        .putShort((short) type)
+        .putLong(cookie)
+        .putInt(body.length)
+        .put(body)
+        .flip();
   }
 
   private static byte[] data(long offset, int length) {
@@ -81,11 +87,17 @@
   @Test
   void chunksMakeOneReply() throws Exception {
     Heard h = feed(chunk(0, Nbd.CHUNK_DATA, 7, data(4_096, 512)), chunk(0, Nbd.CHUNK_HOLE, 7, ByteBuffer
-        .allocate(12).putLong(4_608).putInt(512).array()), chunk(1, Nbd.CHUNK_NONE, 7, new byte[0]));
+        .allocate(12)
+        .putLong(4_608)
+        .putInt(512)
+        .array()), chunk(1, Nbd.CHUNK_NONE, 7, new byte[0]));
     assertEquals(List.of("7 0"), h.events);
     assertEquals(1_024, h.data);
-    assertEquals(List.of("8 5oh"), feed(chunk(1, Nbd.CHUNK_ERROR, 8, ByteBuffer.allocate(8).putInt(5)
-        .putShort((short) 2).put("oh".getBytes()).array())).events);
+    assertEquals(List.of("8 5oh"), feed(chunk(1, Nbd.CHUNK_ERROR, 8, ByteBuffer.allocate(8)
+        .putInt(5)
+        .putShort((short) 2)
+        .put("oh".getBytes())
+        .array())).events);
   }
 
   @Test
@@ -93,8 +105,8 @@
     for (ByteBuffer bad : List.of(chunk(1, Nbd.CHUNK_DATA, 9, data(4_096, 8)), chunk(1, Nbd.CHUNK_DATA, 7,
         data(4_095, 8)), chunk(1, Nbd.CHUNK_DATA, 7, data(4_096, 1_025)), chunk(1, Nbd.CHUNK_DATA, 8, data(
             4_096, 1)), chunk(1, 77, 7, new byte[4]), chunk(1, Nbd.CHUNK_HOLE, 7, new byte[11]), ByteBuffer
-                .allocate(16).putInt(5), ByteBuffer.allocate(16).putInt(Nbd.SIMPLE_REPLY).putInt(0).putLong(7)
-                    .flip())) {
+                .allocate(16)
+                .putInt(5), ByteBuffer.allocate(16).putInt(Nbd.SIMPLE_REPLY).putInt(0).putLong(7).flip())) {
       bad.rewind();
       assertThrows(NbdReplies.Broken.class, () -> feed(bad));
     }
@@ -118,8 +130,11 @@
     NbdHandshake h = new NbdHandshake("x", new Fence("c", 1, 1, Set.of()));
     ByteBuffer in = ByteBuffer.allocate(200);
     if (greeted) {
-      in.putLong(Nbd.MAGIC).putLong(Nbd.IHAVEOPT).putShort((short) 3).putLong(Nbd.OPTION_REPLY).putInt(
-          Nbd.OPT_STRUCTURED_REPLY);
+      in.putLong(Nbd.MAGIC)
+          .putLong(Nbd.IHAVEOPT)
+          .putShort((short) 3)
+          .putLong(Nbd.OPTION_REPLY)
+          .putInt(Nbd.OPT_STRUCTURED_REPLY);
     }
     in.put(bytes).flip();
     try {
--- a/src/test/java/hollyslip/settings/SettingsTest.java
+++ b/src/test/java/hollyslip/settings/SettingsTest.java
@@ -96,16 +96,16 @@
     assertTrue(fails("x = y\n").text().contains("name y is not known"));
     assertTrue(fails("node(1)\n").text().contains("takes its name first"));
     assertTrue(fails("x = 9223372036854775807 + 1\n").text().contains("64 bits"));
-    assertTrue(fails("load(\"../etc/passwd\", \"x\")\n").text().contains(
-        "not the name of a neighbouring file"));
+    assertTrue(fails("load(\"../etc/passwd\", \"x\")\n").text()
+        .contains("not the name of a neighbouring file"));
     assertTrue(fails("load(\"a.star\", \"x\")\n").text().contains("circle"));
   }
 
   @Test
   void noScriptRunsForEver() {
     assertTrue(fails("def f():\n  return f()\nf()\n").text().contains("calls itself"));
-    assertTrue(fails("for i in range(200000):\n  for j in range(200000):\n    x = i\n").text().contains(
-        "steps"));
+    assertTrue(fails("for i in range(200000):\n  for j in range(200000):\n    x = i\n").text()
+        .contains("steps"));
     assertTrue(fails("x = [0]\nfor i in range(100):\n  x = x + x\n").text().contains("larger"));
     assertTrue(fails("x = \"a\" * 1000000000\n").text().contains("larger"));
     assertTrue(fails("x = " + "(".repeat(5000) + "1" + ")".repeat(5000) + "\n").text().contains("nested"));
--- a/src/test/java/hollyslip/tenant/RegistrarModelTest.java
+++ b/src/test/java/hollyslip/tenant/RegistrarModelTest.java
@@ -204,7 +204,11 @@
     } else if (may) {
       // Only full shards may be in the way.
       long free = registry.ledger().accounts().stream().mapToLong(a -> a.freeBytes() / MIB).sum();
-      double tightest = registry.ledger().accounts().stream().mapToDouble(Ledger.Account::free).min()
+      double tightest = registry.ledger()
+          .accounts()
+          .stream()
+          .mapToDouble(Ledger.Account::free)
+          .min()
           .orElseThrow();
       assertTrue(free < s.figure || tightest < s.figure * 10, s + " with " + free + " MiB and " + tightest
           + " free");
