A lost state folder serves again, and of two gateways of one name exactly one goes on

Cause: with a state folder lost or restored from an older copy the epoch began again; nodes that had seen a newer one stayed silent to every request, and clients failed for ever. Two living gateways of one name could not be told from that. Change: nodes tell who holds a name (context hollyslip:epoch) and answer fenced commands EPERM, never run; the gateway asks all nodes before it takes an epoch, locks its folder, and decides in recovery.Succession (free of I/O): pass the newest epoch, refuse to start beside a living one, raise the epoch in service, or yield: refuse at once and end. Closing a gateway twice is no error any more.

--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/cli/Gateway.java
@@ -12,7 +12,10 @@
 import hollyslip.front.vhost.Acceptor;
 import hollyslip.front.vhost.VhostServer;
 import hollyslip.node.NodePool;
+import hollyslip.node.NodeSurvey;
 import hollyslip.recovery.Epoch;
+import hollyslip.recovery.Succession;
+import hollyslip.recovery.Succession.Holder;
 import hollyslip.settings.Deployment;
 import hollyslip.store.Folder;
 import hollyslip.tenant.Shard;
@@ -23,6 +26,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -52,6 +56,10 @@
   private final HostedVolumes hosted;
   private final Control control;
   private final AdminServer admin;
+  private final Epoch epoch;
+  private final CompletableFuture<Void> superseded = new CompletableFuture<>();
+  private volatile Holder holder;
+  private CompletableFuture<Void> stopping;
   private volatile List<Deployment.Node> nodes;
 
   /** Ids of hosted tenants and volumes begin here; those of the settings' volumes are below. */
@@ -60,15 +68,26 @@
   /** Builds and starts it; when this returns the sockets of all volumes listen, those of the settings and of
    * the store, or it was logged of a volume of the store why its one does not. */
   public Gateway(Deployment deployment) throws IOException {
+    this(deployment, false);
+  }
+
+  /** As the other.
+   *
+   * @param takeOver
+   *          an operator says that no other gateway of this name lives, whatever nodes say
+   * @throws IOException
+   *           among others: another gateway of this name lives, or uses the state folder */
+  public Gateway(Deployment deployment, boolean takeOver) throws IOException {
     this.deployment = deployment;
     nodes = deployment.nodes();
     Deployment.Process p = deployment.gateway();
-    long epoch = Epoch.take(p.stateDir().resolve("epoch"));
+    epoch = new Epoch(p.stateDir());
+    holder = begin(takeOver);
     var classifier = new Classifier(deployment.rows(), p.unitBytes(), deployment.store().mostUnits());
     engine = new Engine(new Engine.Config(deployment.module(), classifier, new Splitter(MOST_COMMAND), p
         .mostRequests(), p.mostBytes()), deployment.byName(), new Choice(deployment.module()));
     membership = new Membership(deployment.rules().coldUs(), engine::nodes);
-    pool = new NodePool(engine, new NodePool.Limits(p.name(), epoch, p.connections(), p.perConnection(),
+    pool = new NodePool(engine, new NodePool.Limits(p.name(), holder, p.connections(), p.perConnection(),
         deployment.allowed().connectTimeoutUs(), deployment.rules().orderSettleUs()), deployment.module()
             .reportFields(), new News(), p.ioThreads());
     pool.addresses(addresses(deployment));
@@ -93,12 +112,97 @@
     }
     LOG.atInfo()
         .addKeyValue("name", p.name())
-        .addKeyValue("epoch", epoch)
+        .addKeyValue("epoch", holder.epoch())
         .addKeyValue("volumes", deployment.volumes().size())
         .addKeyValue("nodes", deployment.nodes().size())
         .log("gateway.started");
   }
 
+  /** Takes an epoch above all that our record and the nodes know. */
+  private Holder begin(boolean takeOver) throws IOException {
+    String name = deployment.gateway().name();
+    long recorded = epoch.last();
+    Map<String, Succession.Known> known = NodeSurvey.ask(addresses(deployment), name, deployment.allowed()
+        .connectTimeoutUs());
+    Succession.Step step = takeOver
+        ? Succession.takeOver(recorded, known.values())
+        : Succession.start(recorded, known.values());
+    if (step.verdict() == Succession.Verdict.YIELD) {
+      epoch.close();
+      throw new IOException("another gateway named " + name + " lives, with epoch " + step.other().epoch()
+          + " (ours on disk: " + recorded + "): nodes that say so are " + names(known, step.other())
+          + "; stop it, or start with --take-over if it is gone");
+    }
+    if (recorded < step.other().epoch()) {
+      LOG.atWarn()
+          .addKeyValue("name", name)
+          .addKeyValue("recorded", recorded)
+          .addKeyValue("known", step.other().epoch())
+          .addKeyValue("taken", step.epoch())
+          .log("gateway.epoch.behind");
+    }
+    epoch.take(step.epoch());
+    return new Holder(step.epoch(), new SecureRandom().nextLong(Long.MAX_VALUE));
+  }
+
+  private static List<String> names(Map<String, Succession.Known> known, Holder other) {
+    return known.entrySet()
+        .stream()
+        .filter(e -> e.getValue().holder().equals(other))
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
+  }
+
+  /** A node says that another one holds our name; engine's thread. */
+  private void told(long node, Succession.Known known) {
+    Succession.Step step = Succession.heard(holder, known);
+    if (step.verdict() == Succession.Verdict.GO_ON || superseded.isDone()) {
+      return;
+    }
+    LOG.atError()
+        .addKeyValue("name", deployment.gateway().name())
+        .addKeyValue("node", node)
+        .addKeyValue("epoch", holder.epoch())
+        .addKeyValue("other", known.holder().epoch())
+        .addKeyValue("open", known.open())
+        .addKeyValue("verdict", step.verdict())
+        .log("gateway.superseded");
+    if (step.verdict() == Succession.Verdict.YIELD) {
+      engine.refuseAll();
+      superseded.complete(null);
+      return;
+    }
+    Holder next = new Holder(step.epoch(), holder.instance());
+    holder = next;
+    CompletableFuture.runAsync(() -> record(next.epoch())).whenComplete((done, e) -> {
+      if (e == null) {
+        engine.execute(() -> pool.holder(next));
+      } else {
+        LOG.atError().setCause(e).log("gateway.epoch");
+        superseded.complete(null);
+      }
+    });
+  }
+
+  private void record(long taken) {
+    try {
+      epoch.take(taken);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  /** Complete when a newer gateway of the same name was found: this one must end. */
+  public CompletableFuture<Void> superseded() {
+    return superseded;
+  }
+
+  /** The epoch that it has now. */
+  public long epoch() {
+    return holder.epoch();
+  }
+
   private AdminServer admin(Deployment.Process p) throws IOException {
     Deployment.Hosting h = p.hosting();
     AdminServer.bootstrap(control, p.stateDir().resolve("operator.token"));
@@ -167,6 +271,11 @@
       return fresh;
     }
 
+    @Override
+    public void superseded(long node, Succession.Known known) {
+      told(node, known);
+    }
+
     @Override
     public void wanted() {
       membership.tellAgain();
@@ -244,7 +353,14 @@
   }
 
   /** Takes no more, answers everything, then closes the sockets; complete when all is answered. */
-  public CompletableFuture<Void> stop() {
+  public synchronized CompletableFuture<Void> stop() {
+    if (stopping == null) {
+      stopping = end();
+    }
+    return stopping;
+  }
+
+  private CompletableFuture<Void> end() {
     return engine.stop().whenComplete((done, error) -> {
       if (admin != null) {
         admin.close();
@@ -256,12 +372,18 @@
       if (sftp != null) {
         sftp.close();
       }
+      try {
+        epoch.close();
+      } catch (IOException e) {
+        LOG.atWarn().setCause(e).log("gateway.stop");
+      }
     });
   }
 
   /** Has this called when the engine ends, wanted or not. */
   public void onFault(Runnable listener) {
     engine.ended().whenComplete((done, error) -> listener.run());
+    superseded.thenRun(listener);
   }
 
   /** Stops and waits, but no longer than the longest time that a client waits. Whether all was answered. */
--- a/src/main/java/hollyslip/cli/ServeCommand.java
+++ b/src/main/java/hollyslip/cli/ServeCommand.java
@@ -24,6 +24,8 @@
 
   @Parameters(paramLabel = "FILE", description = "settings script")
   Path file;
+  @Option(names = "--take-over", description = "start although nodes say that another gateway of this name lives: only when it is known to be gone")
+  boolean takeOver;
   @Option(names = "--log", description = "json, text or auto (text at a terminal)", defaultValue = "auto")
   Logs.Form form;
   @Option(names = "--log-level", description = "error, warn, info or debug", defaultValue = "info")
@@ -38,7 +40,7 @@
       return Main.WRONG;
     }
     CountDownLatch over = new CountDownLatch(1);
-    Gateway gateway = new Gateway(loaded.deployment());
+    Gateway gateway = new Gateway(loaded.deployment(), takeOver);
     Signal.handle(new Signal("TERM"), s -> over.countDown());
     Signal.handle(new Signal("INT"), s -> over.countDown());
     Signal.handle(new Signal("HUP"), s -> reload(gateway));
@@ -48,7 +50,7 @@
     over.await();
     boolean clean = gateway.close();
     LOG.atInfo().addKeyValue("totals", gateway.engine().totals()).log("gateway.stopped");
-    return clean ? Main.DONE : Main.FAILED;
+    return clean && !gateway.superseded().isDone() ? Main.DONE : Main.FAILED;
   }
 
   private void reload(Gateway gateway) {
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -91,6 +91,7 @@
    * away does not keep others at the door. Harm: the module holds more at a time then. */
   private final long insideUs;
   private volatile boolean stopping;
+  private volatile boolean refusing;
   private volatile boolean awaitingRoom;
   private NodePort port;
   private long now;
@@ -279,6 +280,12 @@
     return volumes;
   }
 
+  /** Refuses at once all that comes from now on; what is held goes on. From any thread. It is for a gateway
+   * of which nodes run nothing any more: its clients need not wait for their deadlines to hear so. */
+  public void refuseAll() {
+    refusing = true;
+  }
+
   /** Takes nothing more, answers all it holds, then ends. From any thread; calls again change nothing. */
   public CompletableFuture<Void> stop() {
     mailbox.put(() -> stopping = true);
@@ -354,7 +361,7 @@
     Operation op = new Operation(io, volume, className, repeatable, at, deadline);
     operations.put(io, op);
     Served served = shares.get(volume.id());
-    if (served == null || served.draining) {
+    if (served == null || served.draining || refusing) {
       turnAway(op, 0);
       return;
     }
--- a/src/main/java/hollyslip/node/Fence.java
+++ b/src/main/java/hollyslip/node/Fence.java
@@ -1,24 +1,27 @@
 package hollyslip.node;
 
+import hollyslip.recovery.Succession.Holder;
+import hollyslip.recovery.Succession.Known;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
-/** What a connection says of itself and of its siblings: {@code hollyslip:fence/CLIENT/EPOCH/SERIAL/LIVE}.
- * Once a node has answered the negotiation that carries it, no command has an effect there any more that came
- * over a connection of the same client with an earlier epoch, or with the same epoch, a smaller serial and a
- * serial not named in LIVE.
+/** What a connection says of itself and of its siblings:
+ * {@code hollyslip:fence/CLIENT/EPOCH/INSTANCE/SERIAL/LIVE}. Once a node has answered the negotiation that
+ * carries it, no command has an effect there any more that came over a connection of the same client with an
+ * earlier epoch, or from the same holder with a smaller serial that is not named in LIVE. A connection that
+ * is not the newest holder's itself is told so by the node's word on the client, {@link #known}.
  *
  * @param client
  *          name of the gateway instance, without a slash
- * @param epoch
- *          grows with each start of it
+ * @param holder
+ *          which of its starts
  * @param serial
  *          grows with each connection it makes to the node
  * @param live
  *          serials of its other connections that go on */
-public record Fence(String client, long epoch, long serial, Set<Long> live) {
+public record Fence(String client, Holder holder, long serial, Set<Long> live) {
   public Fence {
     if (client.isEmpty() || client.contains("/")) {
       throw new IllegalArgumentException("client: must be a name without a slash, not '" + client + "'");
@@ -30,32 +33,72 @@
   public String text() {
     List<String> names = new ArrayList<>();
     live.forEach(s -> names.add(Long.toString(s)));
-    return Nbd.CONTEXT_FENCE + client + "/" + epoch + "/" + serial + "/" + String.join(",", names);
+    return Nbd.CONTEXT_FENCE + client + "/" + holder.epoch() + "/" + holder.instance() + "/" + serial + "/"
+        + String.join(",", names);
   }
 
   /** Reads the name of a context; null if it is none of these. */
   public static Fence parse(String text) {
-    if (!text.startsWith(Nbd.CONTEXT_FENCE)) {
-      return null;
-    }
-    String[] parts = text.substring(Nbd.CONTEXT_FENCE.length()).split("/", -1);
-    if (parts.length != 4) {
+    String[] parts = parts(text, Nbd.CONTEXT_FENCE, 5);
+    if (parts == null) {
       return null;
     }
     try {
       Set<Long> live = new TreeSet<>();
-      for (String s : parts[3].isEmpty() ? new String[0] : parts[3].split(",")) {
+      for (String s : parts[4].isEmpty() ? new String[0] : parts[4].split(",")) {
         live.add(Long.parseLong(s));
       }
-      return new Fence(parts[0], Long.parseLong(parts[1]), Long.parseLong(parts[2]), live);
+      return new Fence(parts[0], holder(parts), Long.parseLong(parts[3]), live);
     } catch (IllegalArgumentException e) {
       return null;
     }
   }
 
+  /** Name of the context that asks who holds a client's name. */
+  public static String question(String client) {
+    return Nbd.CONTEXT_EPOCH + client;
+  }
+
+  /** Name of the context that answers it. */
+  public static String answer(String client, Known known) {
+    return question(client) + "/" + known.holder().epoch() + "/" + known.holder().instance() + "/" + known
+        .open();
+  }
+
+  /** Reads the name of a context that answers; null if it is none of these, or of another client. */
+  public static Known known(String text, String client) {
+    String[] parts = parts(text, Nbd.CONTEXT_EPOCH, 4);
+    if (parts == null || !parts[0].equals(client)) {
+      return null;
+    }
+    try {
+      return new Known(holder(parts), Integer.parseInt(parts[3]));
+    } catch (IllegalArgumentException e) {
+      return null;
+    }
+  }
+
+  private static String[] parts(String text, String start, int count) {
+    String[] parts = text.startsWith(start) ? text.substring(start.length()).split("/", -1) : null;
+    return parts == null || parts.length != count ? null : parts;
+  }
+
+  private static Holder holder(String[] parts) {
+    return new Holder(Long.parseLong(parts[1]), Long.parseLong(parts[2]));
+  }
+
   /** Whether a connection of the client is dead once this fence stands. */
   public boolean kills(Fence other) {
-    return other.client.equals(client) && (other.epoch < epoch || other.epoch == epoch
-        && other.serial < serial && !live.contains(other.serial));
+    if (!other.client.equals(client) || other.holder.epoch() > holder.epoch()) {
+      return false;
+    }
+    return !other.holder.equals(holder) || other.serial < serial && !live.contains(other.serial);
+  }
+
+  /** Which of two fences of one client stands, this one being there before. */
+  public Fence orNewer(Fence next) {
+    boolean newer = next.holder.epoch() > holder.epoch() || next.holder.equals(holder)
+        && next.serial > serial;
+    return newer ? next : this;
   }
 }
--- a/src/main/java/hollyslip/node/Nbd.java
+++ b/src/main/java/hollyslip/node/Nbd.java
@@ -30,16 +30,21 @@
   public static final int CHUNK_ERROR = 32769, CHUNK_ERROR_OFFSET = 32770;
   public static final int CHUNK_DONE = 1;
 
-  public static final int EIO = 5, ENOMEM = 12, EINVAL = 22, ENOSPC = 28, ENOTSUP = 95, ESHUTDOWN = 108;
+  public static final int EPERM = 1, EIO = 5, ENOMEM = 12, EINVAL = 22, ENOSPC = 28, ENOTSUP = 95,
+      ESHUTDOWN = 108;
 
   /** Context of ours: a node's load, read as the status of consecutive blocks. */
   public static final String CONTEXT_LOAD = "hollyslip:load";
   /** Context of ours: who connects and which of its connections still live; see {@link Fence}. */
   public static final String CONTEXT_FENCE = "hollyslip:fence/";
+  /** Context of ours: who holds a client's name; see {@link Fence#known}. */
+  public static final String CONTEXT_EPOCH = "hollyslip:epoch/";
   /** Bytes whose status is one figure of {@link #CONTEXT_LOAD}. */
   public static final int LOAD_STEP = 512;
   /** Message of an ENOMEM error chunk, between peers that have a context of ours: turned away unseen. */
   public static final String MESSAGE_FULL = "hollyslip:full";
+  /** Message of an EPERM error chunk, between such peers: a newer fence stands, never run. */
+  public static final String MESSAGE_FENCED = "hollyslip:fenced";
   /** Longest message or option data that is read, bytes. */
   public static final int MOST_OPTION = 64 * 1024;
 
--- a/src/main/java/hollyslip/node/NbdConnection.java
+++ b/src/main/java/hollyslip/node/NbdConnection.java
@@ -4,6 +4,7 @@
 import hollyslip.engine.Attempt;
 import hollyslip.engine.ClientMemory;
 import hollyslip.engine.NodePort.Withdrawn;
+import hollyslip.recovery.Succession.Known;
 import hollyslip.volume.IoKind;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -39,6 +40,9 @@
 
     void probed(NbdConnection connection, Result result, long tookUs, long[] load);
 
+    /** The node does not count this connection as the newest holder's: nothing of it runs there. */
+    void superseded(NbdConnection connection, Known known);
+
     /** It is over: {@code waiting} never left, {@code sent} may run, {@code silent} are those of which the
      * engine has already heard. */
     void closed(NbdConnection connection, String why, List<Attempt> waiting, List<Attempt> sent,
@@ -82,6 +86,8 @@
   private NbdReplies replies;
   private boolean negotiated, ready, writing, closed, probing, opened;
   private long probeNs, heardNs;
+  /** A newer fence stands at the node: nothing of this connection runs there any more. */
+  private boolean fencedOff;
   private List<Slot> burst = List.of();
   private ByteBuffer[] gather;
 
@@ -198,6 +204,11 @@
     return handshake.fenced();
   }
 
+  /** Whether it ended since the node runs nothing of it any more. */
+  synchronized boolean fencedOff() {
+    return fencedOff;
+  }
+
   boolean multi() {
     return handshake.has(Nbd.CAN_MULTI_CONN);
   }
@@ -397,7 +408,10 @@
         negotiate();
       }
       in.compact();
-      return true;
+      if (fencedOff) {
+        close("fenced by another connection's negotiation");
+      }
+      return !fencedOff;
     } catch (NbdHandshake.Refused | NbdReplies.Broken e) {
       close(e.getMessage());
       return false;
@@ -410,6 +424,12 @@
     if (out.hasRemaining()) {
       sendAll(out);
     }
+    Known known = done ? handshake.known() : null;
+    if (known != null && !known.holder().equals(fence.holder())) {
+      close("superseded by epoch " + known.holder().epoch());
+      owner.superseded(this, known);
+      return;
+    }
     if (done) {
       boolean tells = handshake.loadContext() >= 0;
       synchronized (this) {
@@ -516,7 +536,14 @@
       return;
     }
     Slot s = flight.remove(cookie);
-    if (s.detached) {
+    if (error == Nbd.EPERM && handshake.loadContext() >= 0 && message.equals(Nbd.MESSAGE_FENCED)) {
+      fencedOff = true;
+      if (s.detached) {
+        owner.resolved(s.attempt);
+      } else {
+        owner.ended(s.attempt, Result.CONNECT_FAILED);
+      }
+    } else if (s.detached) {
       owner.resolved(s.attempt);
     } else if (error == 0 && s.attempt.kind() == IoKind.READ && s.received < s.attempt.length()) {
       owner.ended(s.attempt, Result.ERROR);
--- a/src/main/java/hollyslip/node/NbdDirect.java
+++ b/src/main/java/hollyslip/node/NbdDirect.java
@@ -2,6 +2,8 @@
 
 import hollyslip.HostScheduler.Result;
 import hollyslip.engine.Attempt;
+import hollyslip.recovery.Succession.Holder;
+import hollyslip.recovery.Succession.Known;
 import hollyslip.volume.IoKind;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -27,7 +29,8 @@
       InterruptedException {
     this.done = done;
     group = AsynchronousChannelGroup.withFixedThreadPool(1, Executors.defaultThreadFactory());
-    connection = new NbdConnection(group, 0, export, new Fence("direct", 1, 1, Set.of()), new Hears());
+    connection = new NbdConnection(group, 0, export, new Fence("direct", new Holder(1, 1), 1, Set.of()),
+        new Hears());
     connection.connect(at);
     ready.await();
   }
@@ -62,6 +65,11 @@
     @Override
     public void resolved(Attempt attempt) {}
 
+    @Override
+    public void superseded(NbdConnection c, Known known) {
+      ready.countDown();
+    }
+
     @Override
     public void probed(NbdConnection c, Result result, long tookUs, long[] load) {}
 
--- a/src/main/java/hollyslip/node/NbdHandshake.java
+++ b/src/main/java/hollyslip/node/NbdHandshake.java
@@ -1,5 +1,6 @@
 package hollyslip.node;
 
+import hollyslip.recovery.Succession.Known;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -12,13 +13,21 @@
     GREETING, STRUCTURED, CONTEXTS, GO, DONE
   }
 
+  /** Whether contexts are set and the export opened, or contexts listed and the connection given up. */
+  private enum Purpose {
+    SERVE, ASK
+  }
+
   private final String export;
+  private final String client;
   private final List<String> contexts;
+  private final Purpose purpose;
   private State state = State.GREETING;
   private ByteBuffer out = ByteBuffer.allocate(0);
   private boolean structured;
   private int loadContext = -1;
   private boolean fenced;
+  private Known known;
   private long size = -1;
   private int flags;
 
@@ -29,9 +38,22 @@
     }
   }
 
-  NbdHandshake(String export, Fence fence) {
+  private NbdHandshake(String export, String client, List<String> contexts, Purpose purpose) {
     this.export = export;
-    contexts = List.of(Nbd.CONTEXT_LOAD, fence.text());
+    this.client = client;
+    this.contexts = contexts;
+    this.purpose = purpose;
+  }
+
+  /** One that ends ready for commands, with the fence standing. */
+  NbdHandshake(String export, Fence fence) {
+    this(export, fence.client(), List.of(Nbd.CONTEXT_LOAD, fence.text(), Fence.question(fence.client())),
+        Purpose.SERVE);
+  }
+
+  /** One that only asks who holds a client's name, without an effect, and says goodbye. */
+  static NbdHandshake asking(String export, String client) {
+    return new NbdHandshake(export, client, List.of(Fence.question(client)), Purpose.ASK);
   }
 
   /** Reads what is whole in {@code in} and leaves the rest; whether the negotiation is over. */
@@ -63,6 +85,11 @@
     return fenced;
   }
 
+  /** Who holds the client's name there, null: the node does not say. */
+  Known known() {
+    return known;
+  }
+
   long size() {
     return size;
   }
@@ -124,15 +151,15 @@
         if (structured) {
           sendContexts();
         } else {
-          sendGo();
+          open();
         }
       }
       case CONTEXTS -> {
-        expect(option, Nbd.OPT_SET_META_CONTEXT);
+        expect(option, contextOption());
         if (type == Nbd.REP_META_CONTEXT) {
           context(data);
         } else {
-          sendGo();
+          open();
         }
       }
       case GO -> { expect(option, Nbd.OPT_GO); go(type, data); }
@@ -156,6 +183,8 @@
       loadContext = id;
     } else if (name.startsWith(Nbd.CONTEXT_FENCE)) {
       fenced = true;
+    } else if (Fence.known(name, client) != null) {
+      known = Fence.known(name, client);
     }
   }
 
@@ -188,10 +217,24 @@
       byte[] bytes = c.getBytes(StandardCharsets.US_ASCII);
       d.putInt(bytes.length).put(bytes);
     }
-    send(Nbd.OPT_SET_META_CONTEXT, d.array());
+    send(contextOption(), d.array());
     state = State.CONTEXTS;
   }
 
+  private int contextOption() {
+    return purpose == Purpose.SERVE ? Nbd.OPT_SET_META_CONTEXT : Nbd.OPT_LIST_META_CONTEXT;
+  }
+
+  /** After the contexts: the export, or goodbye. */
+  private void open() {
+    if (purpose == Purpose.SERVE) {
+      sendGo();
+    } else {
+      send(Nbd.OPT_ABORT, new byte[0]);
+      state = State.DONE;
+    }
+  }
+
   private void sendGo() {
     byte[] name = export.getBytes(StandardCharsets.UTF_8);
     ByteBuffer d = ByteBuffer.allocate(6 + name.length);
--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -4,6 +4,8 @@
 import hollyslip.engine.Attempt;
 import hollyslip.engine.Engine;
 import hollyslip.engine.NodePort;
+import hollyslip.recovery.Succession.Holder;
+import hollyslip.recovery.Succession.Known;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
@@ -30,8 +32,8 @@
    *
    * @param client
    *          name of this gateway instance, for {@link Fence}
-   * @param epoch
-   *          grows with each start of it
+   * @param holder
+   *          which of its starts
    * @param mostConnections
    *          connections to one node at most
    * @param mostOut
@@ -40,7 +42,7 @@
    *          a connection not ready after this has failed, us
    * @param settleUs
    *          how long a node without fences may still run what a dead connection brought, us */
-  public record Limits(String client, long epoch, int mostConnections, int mostOut, long connectTimeoutUs,
+  public record Limits(String client, Holder holder, int mostConnections, int mostOut, long connectTimeoutUs,
       long settleUs) {}
 
   /** Hears that a node was found to have started: {@code ageUs} ago, told apart by {@code boot}. */
@@ -48,6 +50,9 @@
     /** Whether this start was not known before. */
     boolean started(long node, long boot, long ageUs);
 
+    /** A node counts another one as the newest holder of our name. */
+    void superseded(long node, Known known);
+
     /** The module asks for the list. */
     void wanted();
   }
@@ -60,6 +65,7 @@
   private final Map<Long, Target> targets = new HashMap<>();
   private final Set<NbdConnection> dirty = new java.util.LinkedHashSet<>();
   private final Map<Attempt, NbdConnection> carriers = new java.util.IdentityHashMap<>();
+  private Holder holder;
   private boolean closing;
 
   /** A node and what this gateway has to do with it. */
@@ -76,6 +82,7 @@
       throws IOException {
     this.engine = engine;
     this.limits = limits;
+    holder = limits.holder();
     this.news = news;
     this.reportFields = List.copyOf(reportFields);
     group = AsynchronousChannelGroup.withFixedThreadPool(threads, r -> {
@@ -150,7 +157,7 @@
     t.connections.forEach(c -> live.add(c.fence.serial()));
     try {
       NbdConnection c = new NbdConnection(group, t.address.node(), t.address.export(), new Fence(limits
-          .client(), limits.epoch(), ++t.serials, live), this);
+          .client(), holder, ++t.serials, live), this);
       t.connections.add(c);
       engine.after(limits.connectTimeoutUs(), () -> {
         if (!c.isReady()) {
@@ -255,6 +262,22 @@
     c.flush();
   }
 
+  /** Goes on as another holder of the name, on the engine's thread: connections of the one before end, as its
+   * fences no longer count. */
+  public void holder(Holder next) {
+    holder = next;
+    targets.values().forEach(t -> List.copyOf(t.connections).forEach(c -> c.close("a newer epoch is taken")));
+  }
+
+  @Override
+  public void superseded(NbdConnection c, Known known) {
+    engine.execute(() -> {
+      if (c.fence.holder().equals(holder)) {
+        news.superseded(c.node, known);
+      }
+    });
+  }
+
   @Override
   public void ended(Attempt attempt, Result result) {
     engine.execute(() -> over(attempt, result));
@@ -306,6 +329,10 @@
           .addKeyValue("why", why)
           .log("node.disconnected");
     }
+    if (c.fencedOff() && t.listed && !closing) {
+      // The next negotiation tells who holds our name.
+      open(t);
+    }
     waiting.forEach(a -> over(a, Result.CONNECT_FAILED));
     List<Attempt> doubt = new ArrayList<>();
     for (Attempt a : sent) {
--- a/src/main/java/hollyslip/standin/DiskServer.java
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -2,6 +2,8 @@
 
 import hollyslip.node.Fence;
 import hollyslip.node.Nbd;
+import hollyslip.recovery.Succession.Holder;
+import hollyslip.recovery.Succession.Known;
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -156,12 +158,15 @@
     synchronized (jobs) {
       model = new ServiceModel(config.model(), config.seed() + boot, bornUs);
     }
-    ServerSocket from = listener;
-    acceptor = daemon("standin-accept", () -> accept(from));
+    acceptFrom(listener);
     long mine = boot;
     daemon("standin-work", () -> work(mine));
   }
 
+  private void acceptFrom(ServerSocket from) {
+    acceptor = daemon("standin-accept", () -> accept(from));
+  }
+
   private Thread daemon(String name, Runnable task) {
     Thread t = new Thread(task, name + "-" + config.name());
     t.setDaemon(true);
@@ -203,6 +208,23 @@
     }
   }
 
+  /** Its network goes: connections are cut and none is taken; the process and what it knows live on. */
+  public void unplug() throws IOException {
+    listener.close();
+    connections.forEach(Connection::cut);
+    try {
+      acceptor.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Its network is back, on the same port. */
+  public void plug() throws IOException {
+    listener = listen(port);
+    acceptFrom(listener);
+  }
+
   /** The process dies: connections are cut, what waits is lost. */
   public void kill() {
     up = false;
@@ -345,6 +367,7 @@
       Fence newest = job.from.fence == null ? null : fences.get(job.from.fence.client());
       if (newest != null && newest.kills(job.from.fence)) {
         note(job, 0, 0, Command.Result.FENCED);
+        job.from.fail(job.cookie, Nbd.EPERM, Nbd.MESSAGE_FENCED);
         return;
       }
       data = apply(job);
@@ -385,12 +408,28 @@
   private void note(Job job, long done, long checksum, Command.Result result) {
     if (config.log()) {
       Fence f = job.from.fence;
-      log.add(new Command(config.name(), boot, f == null ? "" : f.client() + "/" + f.epoch(), job.from.serial,
+      log.add(new Command(config.name(), boot, f == null ? "" : f.client() + "/" + f.holder().epoch(),
+          job.from.serial,
           job.cookie, job.from.memory.name, job.kind, job.offset, job.length, job.receivedUs, done, checksum,
           result));
     }
   }
 
+  /** Who holds a client's name here. */
+  private Known holder(String client) {
+    synchronized (fences) {
+      Fence newest = fences.get(client);
+      if (newest == null) {
+        return new Known(Holder.NOBODY, 0);
+      }
+      long open = connections.stream()
+          .filter(c -> c.fence != null && c.fence.client().equals(client) && c.fence.holder()
+              .equals(newest.holder()))
+          .count();
+      return new Known(newest.holder(), (int) open);
+    }
+  }
+
   /** One client's connection: negotiation, then commands. */
   private final class Connection {
     private final Socket socket;
@@ -401,7 +440,7 @@
     private boolean structured;
     private volatile Thread reader;
     private Memory memory;
-    private Fence fence;
+    private volatile Fence fence;
 
     Connection(Socket socket) throws IOException {
       this.socket = socket;
@@ -481,7 +520,7 @@
           }
           reply(option, Nbd.REP_ACK, new byte[0]);
         }
-        case Nbd.OPT_SET_META_CONTEXT -> setContexts(option, d);
+        case Nbd.OPT_SET_META_CONTEXT, Nbd.OPT_LIST_META_CONTEXT -> contexts(option, d);
         case Nbd.OPT_INFO, Nbd.OPT_GO -> {
           String name = text(d);
           if (name == null) {
@@ -505,8 +544,12 @@
       return false;
     }
 
-    private void setContexts(int option, ByteBuffer d) throws IOException {
-      contexts.clear();
+    /** Sets contexts, or, without an effect, lists them. */
+    private void contexts(int option, ByteBuffer d) throws IOException {
+      boolean sets = option == Nbd.OPT_SET_META_CONTEXT;
+      if (sets) {
+        contexts.clear();
+      }
       String export = text(d);
       if (export == null || d.remaining() < 4) {
         reply(option, Nbd.REP_ERR_INVALID, new byte[0]);
@@ -516,26 +559,33 @@
       for (int i = 0; i < queries && d.hasRemaining(); i++) {
         String query = text(d);
         Fence f = query == null || !config.speaksContexts() ? null : Fence.parse(query);
-        if (f != null) {
+        if (f != null && sets) {
           synchronized (fences) {
             fence = f;
-            fences.merge(f.client(), f, (a, b) -> a.epoch() > b.epoch() || a.epoch() == b.epoch() && a
-                .serial() > b.serial() ? a : b);
+            fences.merge(f.client(), f, Fence::orNewer);
           }
-        }
-        if (f != null || config.speaksContexts() && Nbd.CONTEXT_LOAD.equals(query)) {
-          int id = f != null ? 2 : 1;
-          contexts.put(id, query);
-          byte[] name = query.getBytes(StandardCharsets.US_ASCII);
-          reply(option, Nbd.REP_META_CONTEXT, ByteBuffer.allocate(4 + name.length)
-              .putInt(id)
-              .put(name)
-              .array());
+          context(option, 2, query);
+        } else if (config.speaksContexts() && Nbd.CONTEXT_LOAD.equals(query)) {
+          context(option, 1, query);
+        } else if (config.speaksContexts() && query != null && query.startsWith(Nbd.CONTEXT_EPOCH)) {
+          context(option, 3, Fence.answer(query.substring(Nbd.CONTEXT_EPOCH.length()), holder(query.substring(
+              Nbd.CONTEXT_EPOCH.length()))));
         }
       }
       reply(option, Nbd.REP_ACK, new byte[0]);
     }
 
+    private void context(int option, int id, String name) throws IOException {
+      if (option == Nbd.OPT_SET_META_CONTEXT) {
+        contexts.put(id, name);
+      }
+      byte[] bytes = name.getBytes(StandardCharsets.US_ASCII);
+      reply(option, Nbd.REP_META_CONTEXT, ByteBuffer.allocate(4 + bytes.length)
+          .putInt(id)
+          .put(bytes)
+          .array());
+    }
+
     private String text(ByteBuffer d) {
       if (d.remaining() < 4) {
         return null;
--- a/src/test/java/hollyslip/ArchitectureTest.java
+++ b/src/test/java/hollyslip/ArchitectureTest.java
@@ -94,6 +94,8 @@
         .haveFullyQualifiedName("hollyslip.engine.Verdict")
         .or()
         .haveFullyQualifiedName("hollyslip.recovery.InflightLog")
+        .or()
+        .haveFullyQualifiedName("hollyslip.recovery.Succession")
         .should()
         .dependOnClassesThat()
         .resideInAnyPackage("java.io..", "java.nio.channels..", "java.nio.file..", "java.net..",
--- a/src/test/java/hollyslip/e2e/HostedTest.java
+++ b/src/test/java/hollyslip/e2e/HostedTest.java
@@ -68,7 +68,7 @@
 
   private static void tenant(ApiClient api, String name, String plan) throws IOException {
     ask(api, "POST", "/v1/tenants", "{'name':'" + name
-        + "','quota':{'reserve':1000,'bytes':8388608},'members':{'me':" + me() + "}}");
+        + "','quota':{'reserve':1000,'bytes':33554432},'members':{'me':" + me() + "}}");
     ask(api, "POST", "/v1/tenants/" + name + "/volumes", "{'name':'v','plan':'" + plan
         + "','bytes':1048576,'extent_bytes':65536}");
     until(() -> ask(api, "GET", "/v1/tenants/" + name + "/volumes/v", null).body()
@@ -379,14 +379,14 @@
    * dead one left must not be in the way, and one at which somebody listens must not be taken. */
   @Test
   void readyMeansThatTheVolumesOfTheStoreListen() throws Exception {
-    int volumes = 60;
+    int volumes = 300;
     try (Site site = new Site(dir, 2)) {
       site.hosted = true;
       Gateway first = site.gateway("gw", 0);
       try (ApiClient api = client("gw")) {
         ask(api, "POST", "/v1/plans", "{'name':'gold','reserve':1,'weight':1}");
         ask(api, "POST", "/v1/tenants",
-            "{'name':'lee','quota':{'reserve':1000,'bytes':8388608},'members':{'me':" + me() + "}}");
+            "{'name':'lee','quota':{'reserve':1000,'bytes':33554432},'members':{'me':" + me() + "}}");
         for (int i = 0; i < volumes; i++) {
           ask(api, "POST", "/v1/tenants/lee/volumes", "{'name':'v" + i
               + "','plan':'gold','bytes':65536,'extent_bytes':65536}");
@@ -396,7 +396,7 @@
       Linux.closeAll(Linux.listen(first.socket("lee", "v0")));
       int taken = Linux.listen(first.socket("lee", "v1"));
       Gateway again = site.gateway("gw", 0);
-      for (int i = 0; i < volumes; i++) {
+      for (int i = volumes - 1; i >= 0; i--) {
         if (i != 1) {
           ring(again.socket("lee", "v" + i)).close();
         }
--- a/src/test/java/hollyslip/e2e/Site.java
+++ b/src/test/java/hollyslip/e2e/Site.java
@@ -54,6 +54,18 @@
     return new Volume(id, name, "tenant-" + id, plan, hosts, VOLUME_BYTES, EXTENT, extents);
   }
 
+  /** A gateway of a name in folders of another name. */
+  Deployment named(String name, String folder) {
+    Deployment d = deployment(name, 0, List.of());
+    Deployment.Process p = d.gateway();
+    return new Deployment(new Deployment.Process(name, p.index(), p.hosts(), p.zone(), dir.resolve(folder),
+        dir
+            .resolve(folder + "-state"), p.seed(), p.tickUs(), p.unitBytes(), p.mostRequests(), p.mostBytes(),
+        p
+            .connections(), p.perConnection(), p.ioThreads(), p.sftp(), p.hosting()), d.classes(), d.rows(), d
+                .plans(), d.rules(), d.allowed(), d.store(), d.nodes(), d.volumes());
+  }
+
   Deployment deployment(String name, int index, List<Integer> draining) {
     List<RequestClass> classes = List.of(new RequestClass("read", Effect.SAFE, Group.ALL, 0, 250_000,
         deadlineUs, 2, 0.2, false, false), new RequestClass("write", Effect.UNSAFE, Group.CELL, 0, 250_000,
--- a/src/test/java/hollyslip/node/NbdParsersTest.java
+++ b/src/test/java/hollyslip/node/NbdParsersTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import hollyslip.recovery.Succession.Holder;
+import hollyslip.recovery.Succession.Known;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -127,7 +129,7 @@
 
   @Property(tries = 2_000, seed = "6")
   void noBytesHangOrCrashTheHandshake(@ForAll @Size(max = 120) byte[] bytes, @ForAll boolean greeted) {
-    NbdHandshake h = new NbdHandshake("x", new Fence("c", 1, 1, Set.of()));
+    NbdHandshake h = new NbdHandshake("x", new Fence("c", new Holder(1, 1), 1, Set.of()));
     ByteBuffer in = ByteBuffer.allocate(200);
     if (greeted) {
       in.putLong(Nbd.MAGIC)
@@ -146,15 +148,23 @@
 
   @Test
   void fencesKillEarlierProcessesAndClosedConnections() {
-    Fence f = new Fence("gw", 3, 9, Set.of(5L));
+    Holder holder = new Holder(3, 7);
+    Fence f = new Fence("gw", holder, 9, Set.of(5L));
     assertEquals(f, Fence.parse(f.text()));
-    assertTrue(f.kills(new Fence("gw", 2, 50, Set.of())));
-    assertTrue(f.kills(new Fence("gw", 3, 8, Set.of())));
-    assertFalse(f.kills(new Fence("gw", 3, 5, Set.of())));
+    assertTrue(f.kills(new Fence("gw", new Holder(2, 7), 50, Set.of())));
+    assertTrue(f.kills(new Fence("gw", holder, 8, Set.of())));
+    assertFalse(f.kills(new Fence("gw", holder, 5, Set.of())));
     assertFalse(f.kills(f));
-    assertFalse(f.kills(new Fence("gw", 3, 10, Set.of())));
-    assertFalse(f.kills(new Fence("other", 1, 1, Set.of())));
-    for (String bad : List.of("", "hollyslip:fence/", "hollyslip:fence/a/b/c/d", "hollyslip:fence/a/1/2",
+    assertFalse(f.kills(new Fence("gw", holder, 10, Set.of())));
+    assertFalse(f.kills(new Fence("other", new Holder(1, 1), 1, Set.of())));
+    Fence twin = new Fence("gw", new Holder(3, 8), 20, Set.of());
+    assertTrue(f.kills(twin), "another process with the same epoch");
+    assertEquals(f, f.orNewer(twin), "who came first stands");
+    Known known = new Known(holder, 2);
+    assertEquals(known, Fence.known(Fence.answer("gw", known), "gw"));
+    assertNull(Fence.known(Fence.answer("gw", known), "other"));
+    assertNull(Fence.known("hollyslip:epoch/gw/x/1/0", "gw"));
+    for (String bad : List.of("", "hollyslip:fence/", "hollyslip:fence/a/b/c/d/", "hollyslip:fence/a/1/2",
         "x")) {
       assertNull(Fence.parse(bad));
     }
--- a/src/test/java/hollyslip/recovery/RecoveryTest.java
+++ b/src/test/java/hollyslip/recovery/RecoveryTest.java
@@ -97,11 +97,21 @@
 
   @Test
   void epochsGrowAndAreNeverGuessed(@TempDir Path dir) throws Exception {
-    Path file = dir.resolve("state/epoch");
-    assertEquals(1, Epoch.take(file));
-    assertEquals(2, Epoch.take(file));
+    Path folder = dir.resolve("state");
+    Path file = folder.resolve("epoch");
+    try (Epoch epoch = new Epoch(folder)) {
+      assertEquals(0, epoch.last());
+      epoch.take(1);
+      epoch.take(9);
+      assertThrows(IllegalArgumentException.class, () -> epoch.take(9));
+      IOException e = assertThrows(IOException.class, () -> new Epoch(folder));
+      assertTrue(e.getMessage().contains("uses this state folder"), e.getMessage());
+    }
+    try (Epoch epoch = new Epoch(folder)) {
+      assertEquals(9, epoch.last());
+    }
     Files.writeString(file, "rubbish");
-    IOException e = assertThrows(IOException.class, () -> Epoch.take(file));
+    IOException e = assertThrows(IOException.class, () -> new Epoch(folder));
     assertTrue(e.getMessage().contains("epoch: not a number: 'rubbish'"));
     assertEquals("rubbish", Files.readString(file));
   }
