--- a/src/main/java/hollyslip/cli/ServeCommand.java
+++ b/src/main/java/hollyslip/cli/ServeCommand.java
@@ -1,6 +1,7 @@
 package hollyslip.cli;
 
 import ch.qos.logback.classic.Level;
+import hollyslip.gateway.Gateway;
 import hollyslip.settings.Deployment;
 import hollyslip.settings.Loader;
 import java.nio.file.Path;
--- a/src/main/java/hollyslip/cli/Gateway.java
+++ b/src/main/java/hollyslip/gateway/Gateway.java
@@ -1,4 +1,4 @@
-package hollyslip.cli;
+package hollyslip.gateway;
 
 import hollyslip.Choice;
 import hollyslip.HostScheduler.Listed;
@@ -39,7 +39,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One gateway, put together from its settings. */
+/** One gateway, put together from its settings: the one place that knows all parts. */
 public final class Gateway {
   private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
 
--- a/src/main/java/hollyslip/cli/HostedVolumes.java
+++ b/src/main/java/hollyslip/gateway/HostedVolumes.java
@@ -1,4 +1,4 @@
-package hollyslip.cli;
+package hollyslip.gateway;
 
 import hollyslip.HostScheduler.NodeState;
 import hollyslip.HostScheduler.VolumeChanged;
--- /dev/null
+++ b/src/main/java/hollyslip/load/BenchSite.java
@@ -0,0 +1,40 @@
+package hollyslip.load;
+
+import hollyslip.settings.Deployment;
+import hollyslip.settings.Loader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The deployment that measurements run on: one gateway, one class for everything, stand-ins as nodes. */
+final class BenchSite {
+  private static final String HEAD = """
+      rules(drain_grace = seconds(1), cold_from = 0.2, cold = seconds(5), fall_multiple = 3, fall = seconds(2), settle = ms(300))
+      store(mean_units = 1, most_units = 256)
+      request_class("any", kinds = ["read", "write", "flush", "discard", "write_zeroes"], effect = "safe", aim = ms(250), deadline = seconds(5))
+      plan("p", rate = 1e6, reserve = 1e6, weight = 1)
+      """;
+
+  private BenchSite() {}
+
+  /** The deployment, its folders in {@code dir}.
+   *
+   * @param more
+   *          further arguments of {@code gateway}
+   * @param lines
+   *          what comes after the nodes, volumes above all */
+  static Deployment load(Path dir, int[] ports, String more, String lines) throws IOException {
+    StringBuilder s = new StringBuilder(
+        "gateway('bench', socket_dir = 'run', state_dir = 'state', unit_bytes "
+            + "= 4 * KiB" + more + ")\n").append(HEAD);
+    for (int i = 0; i < ports.length; i++) {
+      s.append(String.format("node('n-%d', port = %d, shard = %d, capacity = 1e6, bytes = 16 * MiB)%n", i,
+          ports[i], i));
+    }
+    Loader.Loaded loaded = Loader.load(Files.writeString(dir.resolve("bench.star"), s.append(lines)));
+    if (!loaded.faults().isEmpty()) {
+      throw new IOException(loaded.faults().toString());
+    }
+    return loaded.deployment();
+  }
+}
--- a/src/main/java/hollyslip/load/RingBench.java
+++ b/src/main/java/hollyslip/load/RingBench.java
@@ -21,10 +21,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.HdrHistogram.Histogram;
 
-/** Reads of 4 KiB as fast as they are answered, at a depth: through a ring, or with the node client alone. */
+/** Reads as fast as they are answered, at a depth: through a ring, or with the node client alone. */
 public final class RingBench {
-  private static final int BYTES = 4_096;
-
   /** One measurement: requests a second, latencies in us, bytes allocated and module time a request in ns. */
   public record Row(String path, int depth, double rate, double p50, double p99, double p999,
       double allocated, double moduleNs) {
@@ -65,10 +63,11 @@
   }
 
   /** Through a ring: {@code engine} is the gateway's, in this process; null: not looked into. */
-  public static Row ring(String path, Path socket, int depth, double seconds, long bytes, Engine engine)
+  public static Row ring(String path, Path socket, int depth, int block, double seconds, long bytes,
+      Engine engine)
       throws IOException {
     int size = Integer.highestOneBit(Math.max(4, 2 * depth - 1));
-    try (RingClient c = new RingClient(RingClient.Options.usual(1, size, BYTES))) {
+    try (RingClient c = new RingClient(RingClient.Options.usual(1, size, block))) {
       c.connect(socket);
       Histogram h = new Histogram(60_000_000_000L, 3);
       SplittableRandom random = new SplittableRandom(1);
@@ -91,7 +90,7 @@
         }
         while (c.out() < depth) {
           long asked = System.nanoTime();
-          c.submit(0, IoKind.READ, random.nextLong(bytes / BYTES) * BYTES, BYTES, null, (s, r, d) -> {
+          c.submit(0, IoKind.READ, random.nextLong(bytes / block) * block, block, null, (s, r, d) -> {
             h.recordValue(System.nanoTime() - asked);
             bad[0] += s == 0 ? 0 : 1;
           });
@@ -114,7 +113,8 @@
   }
 
   /** With the node client alone. */
-  public static Row direct(InetSocketAddress node, int depth, double seconds, long bytes) throws IOException,
+  public static Row direct(InetSocketAddress node, int depth, int block, double seconds, long bytes)
+      throws IOException,
       InterruptedException {
     ArrayBlockingQueue<Long> answers = new ArrayBlockingQueue<>(2 * depth);
     Map<Long, Long> asked = new ConcurrentHashMap<>();
@@ -122,7 +122,7 @@
     SplittableRandom random = new SplittableRandom(1);
     try (NbdDirect d = new NbdDirect(node, "shard-0", (id, ok) -> answers.add(id))) {
       ByteBuffer[] into = new ByteBuffer[depth];
-      Arrays.setAll(into, i -> ByteBuffer.allocateDirect(BYTES));
+      Arrays.setAll(into, i -> ByteBuffer.allocateDirect(block));
       long warm = System.nanoTime() + (long) (seconds * 5e8);
       long until = warm + (long) (seconds * 1e9);
       long counted = warm;
@@ -137,7 +137,7 @@
         boolean more = out < depth;
         for (; out < depth; out++) {
           long at = System.nanoTime();
-          asked.put(d.read(random.nextLong(bytes / BYTES) * BYTES, into[out]), at);
+          asked.put(d.read(random.nextLong(bytes / block) * block, into[out]), at);
         }
         if (more) {
           d.flush();
--- a/src/main/java/hollyslip/cli/BenchRing.java
+++ b/src/main/java/hollyslip/load/RingComparison.java
@@ -1,4 +1,4 @@
-package hollyslip.cli;
+package hollyslip.load;
 
 import hollyslip.Choice;
 import hollyslip.HostScheduler.Result;
@@ -6,14 +6,12 @@
 import hollyslip.engine.Engine;
 import hollyslip.engine.NodePort;
 import hollyslip.front.vhost.VhostServer;
-import hollyslip.load.RingBench;
+import hollyslip.gateway.Gateway;
 import hollyslip.load.RingBench.Node;
 import hollyslip.load.RingBench.Row;
 import hollyslip.settings.Deployment;
-import hollyslip.settings.Loader;
 import hollyslip.volume.Classifier;
 import hollyslip.volume.Splitter;
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,34 +19,52 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.Callable;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 
 /** Ring to gateway to node, against the node alone and against the ring alone. */
-@Command(name = "ring", mixinStandardHelpOptions = true, description = "Reads of 4 KiB, medians of rounds taken in turn: ring to gateway to stand-in; the node client straight to the same stand-in; ring to gateway with an echo in place of nodes.")
-final class BenchRing implements Callable<Integer> {
+public final class RingComparison {
   private static final long BYTES = 16 << 20;
 
-  @Option(names = "--rounds", defaultValue = "3", description = "rounds")
-  int rounds;
-  @Option(names = "--seconds", defaultValue = "2", description = "seconds of one measurement, after half of that to warm up")
-  double seconds;
-  @Option(names = "--nodes", defaultValue = "2", description = "stand-ins behind the gateway")
-  int nodes;
-  @Option(names = "--depths", split = ",", defaultValue = "1,32,256", description = "requests out at a time")
-  int[] depths;
+  private final int rounds;
+  private final double seconds;
+  private final int nodes;
+  private final int[] depths;
+  private final int block;
+  private final List<String> paths;
 
-  @Override
-  public Integer call() throws Exception {
-    Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.WARN);
+  /** @param rounds
+   *          of each measurement; medians are shown
+   * @param seconds
+   *          of one measurement, after half of that to warm up
+   * @param nodes
+   *          stand-ins behind the gateway
+   * @param depths
+   *          requests out at a time
+   * @param block
+   *          bytes of a read
+   * @param paths
+   *          of echo, direct and gateway */
+  public RingComparison(int rounds, double seconds, int nodes, int[] depths, int block, List<String> paths) {
+    this.rounds = rounds;
+    this.seconds = seconds;
+    this.nodes = nodes;
+    this.depths = depths.clone();
+    this.block = block;
+    this.paths = List.copyOf(paths);
+  }
+
+  /** Measures and prints the table. */
+  public void run() throws Exception {
     Path dir = Files.createTempDirectory("hollyslip-bench-");
     List<Node> started = new ArrayList<>();
     try {
       for (int i = 0; i < nodes; i++) {
         started.add(new Node("node-" + i));
       }
-      Deployment d = deployment(dir, started);
+      Deployment d = BenchSite.load(dir, started.stream().mapToInt(n -> n.address.getPort()).toArray(), "",
+          String.format(
+              "volume('v', plan = 'p', size = 16 * MiB, extent = %d, shards = list(range(%d)), at = 0)%n",
+              Math
+                  .max(64 << 10, block), nodes));
       Gateway gateway = new Gateway(d);
       Engine echo = echo(d);
       VhostServer echoFront = new VhostServer(echo, new hollyslip.front.vhost.Acceptor(), "v", dir.resolve(
@@ -56,9 +72,14 @@
       Map<String, List<Row>> rows = new HashMap<>();
       for (int round = 0; round < rounds; round++) {
         for (int depth : depths) {
-          add(rows, RingBench.ring("echo", echoFront.path(), depth, seconds, BYTES, echo));
-          add(rows, RingBench.direct(started.get(0).address, depth, seconds, BYTES));
-          add(rows, RingBench.ring("gateway", gateway.socket("v"), depth, seconds, BYTES, gateway.engine()));
+          for (String path : paths) {
+            add(rows, switch (path) {
+              case "echo" -> RingBench.ring(path, echoFront.path(), depth, block, seconds, BYTES, echo);
+              case "direct" -> RingBench.direct(started.get(0).address, depth, block, seconds, BYTES);
+              default -> RingBench.ring(path, gateway.socket("v"), depth, block, seconds, BYTES, gateway
+                  .engine());
+            });
+          }
         }
       }
       print(rows);
@@ -68,7 +89,6 @@
     } finally {
       started.forEach(Node::close);
     }
-    return Main.DONE;
   }
 
   private static void add(Map<String, List<Row>> rows, Row row) {
@@ -79,8 +99,9 @@
     System.out.printf("%-8s %6s %10s %9s %9s %9s %11s %11s %8s%n", "path", "depth", "requests/s", "p50 us",
         "p99 us", "p99.9 us", "bytes/req", "module ns", "/direct");
     for (int depth : depths) {
-      double direct = Row.median(rows.get("direct" + depth)).rate();
-      for (String path : List.of("echo", "direct", "gateway")) {
+      List<Row> baseline = rows.get("direct" + depth);
+      double direct = baseline == null ? Double.NaN : Row.median(baseline).rate();
+      for (String path : paths) {
         Row r = Row.median(rows.get(path + depth));
         System.out.printf(Locale.ROOT, "%-8s %6d %10.0f %9.1f %9.1f %9.1f %11.0f %11.0f %8.2f%n", path, depth,
             r.rate(), r.p50(), r.p99(), r.p999(), r.allocated(), r.moduleNs(), r.rate() / direct);
@@ -88,28 +109,6 @@
     }
   }
 
-  private static Deployment deployment(Path dir, List<Node> nodes) throws IOException {
-    StringBuilder s = new StringBuilder(
-        """
-            gateway("bench", socket_dir = "run", state_dir = "state", unit_bytes = 4 * KiB)
-            rules(drain_grace = seconds(1), cold_from = 0.2, cold = seconds(5), fall_multiple = 3, fall = seconds(2), settle = ms(300))
-            store(mean_units = 1, most_units = 256)
-            request_class("any", kinds = ["read", "write", "flush", "discard", "write_zeroes"], effect = "safe", aim = ms(250), deadline = seconds(5))
-            plan("p", rate = 1e6, reserve = 1e6, weight = 1)
-            """);
-    for (int i = 0; i < nodes.size(); i++) {
-      s.append(String.format("node('n-%d', port = %d, shard = %d)%n", i, nodes.get(i).address.getPort(), i));
-    }
-    s.append(String.format(
-        "volume('v', plan = 'p', size = 16 * MiB, extent = 64 * KiB, shards = list(range(%d)), at = 0)%n",
-        nodes.size()));
-    Loader.Loaded loaded = Loader.load(Files.writeString(dir.resolve("bench.star"), s));
-    if (!loaded.faults().isEmpty()) {
-      throw new IOException(loaded.faults().toString());
-    }
-    return loaded.deployment();
-  }
-
   /** An engine whose nodes answer at once without any bytes: what ring, engine and module cost. */
   private static Engine echo(Deployment d) {
     Engine e = new Engine(new Engine.Config(d.module(), new Classifier(d.rows(), d.gateway().unitBytes(), d
--- a/src/main/java/hollyslip/cli/BenchTenants.java
+++ b/src/main/java/hollyslip/load/TenantBench.java
@@ -1,4 +1,4 @@
-package hollyslip.cli;
+package hollyslip.load;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import hollyslip.Choice;
@@ -8,11 +8,10 @@
 import hollyslip.admin.ApiClient;
 import hollyslip.admin.Carrier;
 import hollyslip.admin.Control;
-import hollyslip.load.RingBench;
+import hollyslip.gateway.Gateway;
 import hollyslip.load.RingBench.Node;
 import hollyslip.load.RingBench.Row;
 import hollyslip.settings.Deployment;
-import hollyslip.settings.Loader;
 import hollyslip.store.Folder;
 import hollyslip.tenant.HostedVolume;
 import hollyslip.tenant.Shard;
@@ -27,38 +26,40 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import org.HdrHistogram.Histogram;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 
 /** What tenants cost: changes while requests flow, a neighbour that floods, starts from the store, and the
  * module with many volumes. */
-@Command(name = "tenants", mixinStandardHelpOptions = true, description = "Changes a second with their sync and what they cost requests; a flooding neighbour; recovery by size; the module with 10 and with 50,000 volumes.")
-final class BenchTenants implements Callable<Integer> {
+public final class TenantBench {
   private static final long BYTES = 4 << 20;
+  private static final int BLOCK = 4_096;
   private static final ObjectMapper JSON = new ObjectMapper();
 
-  @Option(names = "--rounds", defaultValue = "3", description = "rounds")
-  int rounds;
-  @Option(names = "--seconds", defaultValue = "2", description = "seconds of one measurement")
-  double seconds;
+  private final int rounds;
+  private final double seconds;
 
-  @Override
-  public Integer call() throws Exception {
-    Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.WARN);
+  /** @param rounds
+   *          of each measurement
+   * @param seconds
+   *          of one measurement */
+  public TenantBench(int rounds, double seconds) {
+    this.rounds = rounds;
+    this.seconds = seconds;
+  }
+
+  /** Measures and prints the tables. */
+  public void run() throws Exception {
     Path dir = Files.createTempDirectory("hollyslip-bench-");
     module();
     recovery(dir);
     traffic(dir);
-    return Main.DONE;
   }
 
   // The module alone.
 
   private static HostScheduler.Settings settings(Path dir) throws IOException {
-    return deployment(dir, List.of(1, 2)).module();
+    return deployment(dir, 1, 2).module();
   }
 
   private void module() throws IOException {
@@ -189,24 +190,8 @@
 
   // Over sockets.
 
-  private static Deployment deployment(Path dir, List<Integer> ports) throws IOException {
-    StringBuilder s = new StringBuilder(
-        """
-            gateway("bench", socket_dir = "run", state_dir = "state", unit_bytes = 4 * KiB, hosted = True)
-            rules(drain_grace = seconds(1), cold_from = 0.2, cold = seconds(5), fall_multiple = 3, fall = seconds(2), settle = ms(300))
-            store(mean_units = 1, most_units = 256)
-            request_class("any", kinds = ["read", "write", "flush", "discard", "write_zeroes"], effect = "safe", aim = ms(250), deadline = seconds(5))
-            plan("p", rate = 1e6, reserve = 1e6, weight = 1)
-            """);
-    for (int i = 0; i < ports.size(); i++) {
-      s.append(String.format("node('n-%d', port = %d, shard = %d, capacity = 1e6, bytes = 16 * MiB)%n", i,
-          ports.get(i), i));
-    }
-    Loader.Loaded loaded = Loader.load(Files.writeString(dir.resolve("bench.star"), s));
-    if (!loaded.faults().isEmpty()) {
-      throw new IOException(loaded.faults().toString());
-    }
-    return loaded.deployment();
+  private static Deployment deployment(Path dir, int... ports) throws IOException {
+    return BenchSite.load(dir, ports, ", hosted = True", "");
   }
 
   private static void ask(ApiClient api, String method, String path, String body) throws IOException {
@@ -219,7 +204,9 @@
 
   private void traffic(Path dir) throws Exception {
     List<Node> nodes = List.of(new Node("node-0"), new Node("node-1"));
-    Gateway gateway = new Gateway(deployment(dir, nodes.stream().map(n -> n.address.getPort()).toList()));
+    Gateway gateway = new Gateway(deployment(dir, nodes.stream()
+        .mapToInt(n -> n.address.getPort())
+        .toArray()));
     String token = Files.readString(dir.resolve("state/operator.token")).trim();
     try (ApiClient api = ApiClient.at(dir.resolve("run/admin.sock"), token)) {
       long me = ((Number) Files.getAttribute(Path.of("/proc/self"), "unix:uid")).longValue();
@@ -230,13 +217,20 @@
         ask(api, "POST", "/v1/tenants/" + t + "/volumes",
             "{'name':'v','plan':'p','bytes':4194304,'extent_bytes':65536}");
       }
-      while (!Files.exists(gateway.socket("b", "v"))) {
-        Thread.sleep(5);
+      for (String t : List.of("a", "b")) {
+        while (!api.ask("GET", "/v1/tenants/" + t + "/volumes/v", null, Map.of())
+            .body()
+            .get("phase")
+            .asText()
+            .equals("active")) {
+          Thread.onSpinWait();
+        }
       }
       System.out.printf("%n%-34s %8s %10s %9s %9s %11s %12s%n", "requests of b, 4 KiB reads", "depth",
           "requests/s", "p50 us", "p99 us", "changes/s", "change p99");
       for (int round = 0; round < rounds; round++) {
-        print("alone", RingBench.ring("b", gateway.socket("b", "v"), 4, seconds, BYTES, gateway.engine()), 4,
+        print("alone", RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway
+            .engine()), 4,
             null, 0);
         changing(gateway, api);
         flooded(gateway);
@@ -272,7 +266,7 @@
       }
     });
     t.start();
-    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, seconds, BYTES, gateway.engine());
+    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway.engine());
     over[0] = true;
     t.join();
     print("while tenant a is changed", r, 4, took, (System.nanoTime() - from) / 1e9);
@@ -283,13 +277,14 @@
     Row[] flood = new Row[1];
     Thread t = new Thread(() -> {
       try {
-        flood[0] = RingBench.ring("a", gateway.socket("a", "v"), 256, seconds * 1.5, BYTES, gateway.engine());
+        flood[0] = RingBench.ring("a", gateway.socket("a", "v"), 256, BLOCK, seconds * 1.5, BYTES, gateway
+            .engine());
       } catch (Exception e) {
         throw new IllegalStateException(e);
       }
     });
     t.start();
-    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, seconds, BYTES, gateway.engine());
+    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway.engine());
     t.join();
     print("while tenant a keeps 256 out", r, 4, null, 0);
   }
--- a/src/test/java/hollyslip/e2e/HardCasesTest.java
+++ b/src/test/java/hollyslip/e2e/HardCasesTest.java
@@ -9,7 +9,7 @@
 import hollyslip.audit.Auditor.Rule;
 import hollyslip.audit.Told;
 import hollyslip.HostScheduler.Plan;
-import hollyslip.cli.Gateway;
+import hollyslip.gateway.Gateway;
 import hollyslip.engine.Engine;
 import hollyslip.front.sys.Linux;
 import hollyslip.load.Child;
--- a/src/test/java/hollyslip/e2e/HostedTest.java
+++ b/src/test/java/hollyslip/e2e/HostedTest.java
@@ -8,7 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import hollyslip.admin.ApiClient;
-import hollyslip.cli.Gateway;
+import hollyslip.gateway.Gateway;
 import hollyslip.engine.Engine;
 import hollyslip.front.sys.Linux;
 import hollyslip.front.vhost.Wire;
--- a/src/test/java/hollyslip/e2e/HostileClientTest.java
+++ b/src/test/java/hollyslip/e2e/HostileClientTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hollyslip.cli.Gateway;
+import hollyslip.gateway.Gateway;
 import hollyslip.front.sys.Linux;
 import hollyslip.front.vhost.Wire;
 import hollyslip.load.RingClient;
--- a/src/test/java/hollyslip/e2e/RingNoiseTest.java
+++ b/src/test/java/hollyslip/e2e/RingNoiseTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import hollyslip.cli.Gateway;
+import hollyslip.gateway.Gateway;
 import hollyslip.front.sys.Linux;
 import hollyslip.load.RingClient;
 import hollyslip.volume.IoKind;
--- a/src/test/java/hollyslip/e2e/Site.java
+++ b/src/test/java/hollyslip/e2e/Site.java
@@ -8,7 +8,7 @@
 import hollyslip.HostScheduler.RequestClass;
 import hollyslip.HostScheduler.Rules;
 import hollyslip.HostScheduler.Store;
-import hollyslip.cli.Gateway;
+import hollyslip.gateway.Gateway;
 import hollyslip.settings.Deployment;
 import hollyslip.standin.DiskServer;
 import hollyslip.volume.Classifier;
--- a/src/test/java/hollyslip/e2e/SupersededTest.java
+++ b/src/test/java/hollyslip/e2e/SupersededTest.java
@@ -6,7 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import hollyslip.cli.Gateway;
+import hollyslip.gateway.Gateway;
 import hollyslip.load.RingClient;
 import hollyslip.standin.Command;
 import hollyslip.volume.IoKind;
