Letters, timers and replies make little garbage; a cancelled timer is gone at once

Cause (profiled, depth 256): the engine's heap of timers kept each cancelled one, with its request, until its deadline 5 s later: half a million of them, long pauses of the collector, p99.9 of 58 ms. Texts of checks that pass were built for each descriptor; letters, streams and boxed maps made 4 to 5.6 KB a request. Change: a heap with removal; operations and attempts are letters themselves (JCTools queue); Agrona maps; an outcome is posted once, not twice; a connection's size needs no lock; headers are read in place; Io knows its operation.

--- a/src/main/java/hollyslip/engine/Attempt.java
+++ b/src/main/java/hollyslip/engine/Attempt.java
@@ -1,11 +1,14 @@
 package hollyslip.engine;
 
+import hollyslip.HostScheduler.Result;
 import hollyslip.volume.IoKind;
 import java.nio.ByteBuffer;
 import java.util.List;
 
-/** One sending of a piece of a request to a node. */
-public final class Attempt {
+/** One sending of a piece of a request to a node; as a letter it says what came of it, as a timer that it is
+ * to be given up. */
+public final class Attempt implements Runnable, Timers.Task {
+  private final Engine engine;
   final Piece piece;
   final int number;
   final long sentAt;
@@ -14,10 +17,13 @@
   boolean mayRun;
   boolean resolved;
   Timers.Entry timer;
+  private Result result;
+  private List<Double> report;
   /** For the node port alone: where it keeps what it needs to find the attempt again. */
   public Object handle;
 
-  Attempt(Piece piece, int number, long node, long sentAt) {
+  Attempt(Engine engine, Piece piece, int number, long node, long sentAt) {
+    this.engine = engine;
     this.piece = piece;
     this.number = number;
     this.node = node;
@@ -28,8 +34,26 @@
   public static Attempt bare(long request, IoKind kind, int shard, long offset, List<ByteBuffer> data) {
     long length = data.stream().mapToLong(ByteBuffer::remaining).sum();
     Io io = new Io("", kind, offset, length, data, 0, null);
-    Operation op = new Operation(io, null, "", true, 0, 0);
-    return new Attempt(new Piece(request, op, shard, offset, 0, length), 0, 0, 0);
+    Operation op = new Operation(null, io, null, null, 0);
+    return new Attempt(null, new Piece(request, op, shard, offset, 0, length), 0, 0, 0);
+  }
+
+  /** Notes what came of it; then it is posted. By the one who tells. */
+  void tell(Result what, List<Double> nodesReport) {
+    result = what;
+    report = nodesReport;
+  }
+
+  /** Read as a letter. */
+  @Override
+  public void run() {
+    engine.ended(this, result, report);
+  }
+
+  /** Its time is up. */
+  @Override
+  public void due() {
+    engine.withdraw(this, Result.TIMEOUT);
   }
 
   /** The node that it goes to. */
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -15,13 +15,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+import org.agrona.collections.Long2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -73,14 +74,16 @@
   private final Timers timers = new Timers();
   private final Bounds bounds;
   private final RangeLocks locks = new RangeLocks();
-  private final Map<Long, Piece> pieces = new HashMap<>();
-  private final Map<Io, Operation> operations = new IdentityHashMap<>();
-  private final List<Action> actions = new ArrayList<>();
+  private final Long2ObjectHashMap<Piece> pieces = new Long2ObjectHashMap<>();
+  /** Actions of the events that are being told, the innermost last: carrying one out may tell the next. */
+  private final List<Decided> levels = new ArrayList<>();
+  private int level;
   private final List<Runnable> turnedAway = new CopyOnWriteArrayList<>();
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private final LongAdder taken = new LongAdder(), served = new LongAdder(), refused = new LongAdder();
   private final LongAdder failed = new LongAdder(), departed = new LongAdder(), attempts = new LongAdder();
-  private final LongAdder moduleNs = new LongAdder();
+  /** Written by the engine's thread alone. */
+  private volatile long moduleNs;
   private final Sampler refusals = new Sampler(), failures = new Sampler();
   private final Map<String, Volume> volumes = new ConcurrentHashMap<>();
   private final Map<Long, Served> shares = new ConcurrentHashMap<>();
@@ -101,16 +104,25 @@
   private final ArrayDeque<Operation> inside = new ArrayDeque<>();
 
   /** What the engine keeps of a volume by its id. */
-  private static final class Served {
-    final Door.Owner owner;
-    final CompletableFuture<Void> drained = new CompletableFuture<>();
-    volatile boolean draining;
-    /** Requests of it that are taken and not released; engine's thread. */
-    int held;
+  static final class Served {
+    private Door.Owner owner;
+    private CompletableFuture<Void> drained = new CompletableFuture<>();
+    private boolean draining;
+    /** Requests of it that are taken and not released. */
+    private int held;
 
     Served(Door.Owner owner) {
       this.owner = owner;
     }
+
+    /** Served on such terms, whatever was before. */
+    void again(Door.Owner next) {
+      owner = next;
+      if (draining) {
+        draining = false;
+        drained = new CompletableFuture<>();
+      }
+    }
   }
 
   public Engine(Config config, Map<String, Volume> volumes, HostScheduler module) {
@@ -157,15 +169,20 @@
     if (stopping) {
       return false;
     }
-    if (!bounds.take(held(io))) {
+    if (!bounds.take(io.held())) {
       awaitingRoom = true;
       return false;
     }
-    long at = clock();
-    mailbox.put(() -> take(io, volume, at));
+    Operation op = new Operation(this, io, volume, rules(io), clock());
+    io.operation = op;
+    mailbox.put(op);
     return true;
   }
 
+  private RequestClass rules(Io io) {
+    return classes.get(config.classifier().className(io.kind(), io.length()));
+  }
+
   /** Has this called, on the engine's thread, whenever there is room again after a front was turned away. */
   public void onRoom(Runnable listener) {
     turnedAway.add(listener);
@@ -178,7 +195,7 @@
 
   /** The client of a request left: it gets no answer, its data is released soon. From any thread. */
   public void depart(Io io) {
-    mailbox.put(() -> leave(io));
+    mailbox.put(() -> leave(io.operation));
   }
 
   /** News of the node list. From any thread. */
@@ -202,7 +219,8 @@
   /** What came of an attempt; {@code report} may be null. From any thread, once an attempt that was not
    * withdrawn. {@code TIMEOUT} and {@code CANCELLED} are the engine's own to tell. */
   public void outcome(Attempt attempt, Result result, List<Double> report) {
-    mailbox.put(() -> ended(attempt, result, report));
+    attempt.tell(result, report);
+    mailbox.put(attempt);
   }
 
   /** An attempt that ended without a word of its effect can have none any more. From any thread. */
@@ -222,7 +240,7 @@
 
   /** Runs something on the engine's thread after so many us; call on the engine's thread. */
   public void after(long us, Runnable task) {
-    timers.set(clock() + us, task);
+    timers.set(clock() + us, task::run);
   }
 
   /** A volume of the settings shares as its plan's weight says. */
@@ -237,11 +255,9 @@
   public CompletableFuture<Void> serve(Volume volume, HostScheduler.VolumeChanged terms) {
     CompletableFuture<Void> told = new CompletableFuture<>();
     mailbox.put(() -> {
-      Served old = shares.get(volume.id());
-      Served next = new Served(new Door.Owner(volume.tenant(), terms.groupWeight(), volume.id(), terms.plan()
-          .weight()));
-      next.held = old == null ? 0 : old.held;
-      shares.put(volume.id(), next);
+      Door.Owner owner = new Door.Owner(volume.tenant(), terms.groupWeight(), volume.id(), terms.plan()
+          .weight());
+      shares.computeIfAbsent(volume.id(), k -> new Served(owner)).again(owner);
       tell(terms);
       volumes.put(volume.name(), volume);
       told.complete(null);
@@ -300,7 +316,7 @@
   /** Totals since the start. From any thread; the figures need not be of one instant. */
   public Totals totals() {
     return new Totals(taken.sum(), served.sum(), refused.sum(), failed.sum(), departed.sum(), attempts.sum(),
-        bounds.requests(), moduleNs.sum());
+        bounds.requests(), moduleNs);
   }
 
   private void run() {
@@ -346,28 +362,18 @@
     }
   }
 
-  private static long held(Io io) {
-    return io.kind().carriesData() ? io.length() : 0;
-  }
-
   // A request comes in.
 
-  private void take(Io io, Volume volume, long at) {
+  void take(Operation op) {
     taken.increment();
-    String className = config.classifier().className(io.kind(), io.length());
-    RequestClass rules = classes.get(className);
-    long deadline = at + (io.remainingUs() > 0 ? io.remainingUs() : rules.deadlineUs());
-    boolean repeatable = rules.effect() == HostScheduler.Effect.SAFE;
-    Operation op = new Operation(io, volume, className, repeatable, at, deadline);
-    operations.put(io, op);
-    Served served = shares.get(volume.id());
+    Served served = shares.get(op.volume.id());
     if (served == null || served.draining || refusing) {
       turnAway(op, 0);
       return;
     }
     served.held++;
-    op.counted = true;
-    double units = config.classifier().units(io.kind(), io.length());
+    op.served = served;
+    double units = config.classifier().units(op.io.kind(), op.io.length());
     op.place = door.pass(now, op, served.owner, units);
     if (op.place != null) {
       goIn(op);
@@ -379,7 +385,7 @@
     }
     letIn();
     if (op.place.waiting()) {
-      timers.set(deadline - config.settings().tickUs(), () -> {
+      op.patience = timers.set(op.deadline - config.settings().tickUs(), () -> {
         if (op.place.waiting()) {
           door.leave(op.place);
           turnAway(op, 0);
@@ -404,6 +410,9 @@
   }
 
   private void goIn(Operation op) {
+    if (op.patience != null) {
+      op.patience.cancel();
+    }
     op.letInAt = now;
     inside.add(op);
     begin(op);
@@ -449,7 +458,7 @@
     for (Piece holder : locks.blockers(piece)) {
       holder.attempts.forEach(this::fenceIfAbandoned);
     }
-    timers.set(piece.operation.deadline - config.settings().tickUs(), () -> {
+    piece.patience = timers.set(piece.operation.deadline - config.settings().tickUs(), () -> {
       if (!piece.known && !piece.answered) {
         locks.leave(piece).forEach(this::submit);
         answerPiece(piece, Answer.refused(0));
@@ -467,9 +476,12 @@
   private void submit(Piece piece) {
     Operation op = piece.operation;
     piece.known = true;
+    if (piece.patience != null) {
+      piece.patience.cancel();
+    }
     pieces.put(piece.id, piece);
     long extent = op.io.offset() / op.volume.extentBytes();
-    tell(new HostScheduler.Request(piece.id, op.className, op.volume.plan(), op.volume.id() << 24 | extent,
+    tell(new HostScheduler.Request(piece.id, op.rules.name(), op.volume.plan(), op.volume.id() << 24 | extent,
         op.volume.id(), config.classifier().units(piece.kind, piece.length), piece.shard, op.volume.hosts(),
         op.deadline - now, false));
   }
@@ -477,13 +489,27 @@
   // The module decides.
 
   private void tell(Event event) {
+    if (level == levels.size()) {
+      levels.add(new Decided());
+    }
+    Decided decided = levels.get(level++);
     long from = System.nanoTime();
-    module.handle(now, event, actions::add);
-    moduleNs.add(System.nanoTime() - from);
-    if (!actions.isEmpty()) {
-      List<Action> decided = List.copyOf(actions);
-      actions.clear();
-      decided.forEach(this::carryOut);
+    module.handle(now, event, decided);
+    moduleNs += System.nanoTime() - from;
+    for (int i = 0; i < decided.actions.size(); i++) {
+      carryOut(decided.actions.get(i));
+    }
+    decided.actions.clear();
+    level--;
+  }
+
+  /** What the module decided on one event, in order. */
+  private static final class Decided implements Consumer<Action> {
+    final List<Action> actions = new ArrayList<>();
+
+    @Override
+    public void accept(Action action) {
+      actions.add(action);
     }
   }
 
@@ -507,7 +533,7 @@
 
   private void send(Piece piece, HostScheduler.Send order) {
     Operation op = piece.operation;
-    Attempt attempt = new Attempt(piece, piece.attempts.size(), order.node(), now);
+    Attempt attempt = new Attempt(this, piece, piece.attempts.size(), order.node(), now);
     piece.attempts.add(attempt);
     attempts.increment();
     op.out++;
@@ -515,14 +541,14 @@
       piece.unresolved++;
     }
     long until = order.timeoutAt() > 0 ? Math.min(order.timeoutAt(), op.deadline) : op.deadline;
-    attempt.timer = timers.set(until, () -> withdraw(attempt, Result.TIMEOUT));
+    attempt.timer = timers.set(until, attempt);
     port.send(attempt);
   }
 
   // What came of it.
 
   /** Gives an attempt up, if its outcome has not come: the module hears what is true of it. */
-  private void withdraw(Attempt attempt, Result reason) {
+  void withdraw(Attempt attempt, Result reason) {
     if (attempt.over) {
       return;
     }
@@ -533,7 +559,7 @@
     }
   }
 
-  private void ended(Attempt attempt, Result result, List<Double> report) {
+  void ended(Attempt attempt, Result result, List<Double> report) {
     if (attempt.over) {
       return;
     }
@@ -620,8 +646,7 @@
     }
   }
 
-  private void leave(Io io) {
-    Operation op = operations.get(io);
+  private void leave(Operation op) {
     if (op == null || op.answered) {
       return;
     }
@@ -647,7 +672,11 @@
 
   /** Forgets what nothing will ask for again. */
   private void free(Piece piece) {
-    if (piece.answered && piece.attempts.stream().allMatch(a -> a.over)) {
+    boolean over = piece.answered;
+    for (int i = 0; i < piece.attempts.size(); i++) {
+      over &= piece.attempts.get(i).over;
+    }
+    if (over) {
       pieces.remove(piece.id);
     }
     free(piece.operation);
@@ -656,13 +685,11 @@
   private void free(Operation op) {
     if (op.answered && op.out == 0 && !op.released) {
       op.released = true;
-      operations.remove(op.io);
       op.io.client().released();
-      bounds.give(held(op.io));
-      if (op.counted) {
-        Served s = shares.get(op.volume.id());
-        s.held--;
-        gone(op.volume, s);
+      bounds.give(op.io.held());
+      if (op.served != null) {
+        op.served.held--;
+        gone(op.volume, op.served);
         leaveRoom(op);
       }
     }
--- a/src/main/java/hollyslip/engine/Io.java
+++ b/src/main/java/hollyslip/engine/Io.java
@@ -9,25 +9,8 @@
  * <p>
  * {@code data} is the client's own memory: for a write it is read while an attempt is being sent, for a read
  * it is written when an answer comes. It belongs to the engine from {@link Engine#offer} until
- * {@link Client#released}; the sum of what remains in the buffers is {@code length}.
- *
- * @param volume
- *          name of the volume
- * @param kind
- *          what to do
- * @param offset
- *          first byte; a multiple of the block size
- * @param length
- *          bytes; 0 for a flush
- * @param data
- *          buffers, in order; empty for kinds without data
- * @param remainingUs
- *          how long the client still waits, us; 0: as the request's class says
- * @param client
- *          who hears of the end */
-public record Io(String volume, IoKind kind, long offset, long length, List<ByteBuffer> data,
-    long remainingUs, Client client) {
-
+ * {@link Client#released}; the sum of what remains in the buffers is {@code length}. */
+public final class Io {
   /** The front's side of a request. Both calls come on the engine's thread and must not block. */
   public interface Client {
     /** The final answer; comes exactly once unless the client departed before. */
@@ -37,4 +20,72 @@
      * departure. */
     void released();
   }
+
+  private final String volume;
+  private final IoKind kind;
+  private final long offset;
+  private final long length;
+  private final List<ByteBuffer> data;
+  private final long remainingUs;
+  private final Client client;
+  /** What the engine makes of it once it is taken. */
+  volatile Operation operation;
+
+  /** @param volume
+   *          name of the volume
+   * @param kind
+   *          what to do
+   * @param offset
+   *          first byte; a multiple of the block size
+   * @param length
+   *          bytes; 0 for a flush
+   * @param data
+   *          buffers, in order; empty for kinds without data
+   * @param remainingUs
+   *          how long the client still waits, us; 0: as the request's class says
+   * @param client
+   *          who hears of the end */
+  public Io(String volume, IoKind kind, long offset, long length, List<ByteBuffer> data, long remainingUs,
+      Client client) {
+    this.volume = volume;
+    this.kind = kind;
+    this.offset = offset;
+    this.length = length;
+    this.data = data;
+    this.remainingUs = remainingUs;
+    this.client = client;
+  }
+
+  public String volume() {
+    return volume;
+  }
+
+  public IoKind kind() {
+    return kind;
+  }
+
+  public long offset() {
+    return offset;
+  }
+
+  public long length() {
+    return length;
+  }
+
+  public List<ByteBuffer> data() {
+    return data;
+  }
+
+  public long remainingUs() {
+    return remainingUs;
+  }
+
+  public Client client() {
+    return client;
+  }
+
+  /** Bytes of data that are held for it. */
+  long held() {
+    return kind.carriesData() ? length : 0;
+  }
 }
--- a/src/main/java/hollyslip/engine/Mailbox.java
+++ b/src/main/java/hollyslip/engine/Mailbox.java
@@ -1,13 +1,16 @@
 package hollyslip.engine;
 
-import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.Queue;
 import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.MpscUnboundedArrayQueue;
 
-/** What other threads have for the engine, and how it sleeps until there is something. */
+/** What other threads have for the engine, and how it sleeps until there is something. Letters are the things
+ * themselves that happened, so that posting one makes no garbage. */
 final class Mailbox {
-  private final Spin spin = new Spin();
+  private static final int CHUNK = 4_096;
 
-  private final ConcurrentLinkedQueue<Runnable> queue = new ConcurrentLinkedQueue<>();
+  private final Spin spin = new Spin();
+  private final Queue<Runnable> queue = new MpscUnboundedArrayQueue<>(CHUNK);
   private volatile boolean asleep;
   private volatile Thread owner;
 
@@ -23,6 +26,7 @@
     }
   }
 
+  /** The owner alone. */
   Runnable poll() {
     return queue.poll();
   }
--- a/src/main/java/hollyslip/engine/Operation.java
+++ b/src/main/java/hollyslip/engine/Operation.java
@@ -1,33 +1,46 @@
 package hollyslip.engine;
 
+import hollyslip.HostScheduler;
+import hollyslip.HostScheduler.RequestClass;
 import hollyslip.door.Door;
 import hollyslip.volume.Volume;
 import java.util.List;
 
-/** A request that the engine has taken, until its client's data is free again. */
-final class Operation {
+/** A request that the engine has taken, until its client's data is free again; as a letter it says that it
+ * has come. */
+final class Operation implements Runnable {
   final Io io;
   final Volume volume;
-  final String className;
+  final RequestClass rules;
   final long takenAt;
   final long deadline;
   final Verdict verdict;
+  private final Engine engine;
   List<Piece> pieces = List.of();
   /** At the door, then inside. */
   Door.Place<Operation> place;
-  boolean counted;
+  /** Ends its wait at the door. */
+  Timers.Entry patience;
+  /** Counted there; null: not. */
+  Engine.Served served;
   long letInAt;
   boolean answered;
   boolean released;
   /** Attempts whose outcome is not told yet: they may touch the data. */
   int out;
 
-  Operation(Io io, Volume volume, String className, boolean repeatable, long takenAt, long deadline) {
+  Operation(Engine engine, Io io, Volume volume, RequestClass rules, long takenAt) {
+    this.engine = engine;
     this.io = io;
     this.volume = volume;
-    this.className = className;
+    this.rules = rules;
     this.takenAt = takenAt;
-    this.deadline = deadline;
-    verdict = new Verdict(repeatable);
+    deadline = takenAt + (io.remainingUs() > 0 ? io.remainingUs() : rules == null ? 0 : rules.deadlineUs());
+    verdict = new Verdict(rules == null || rules.effect() == HostScheduler.Effect.SAFE);
+  }
+
+  @Override
+  public void run() {
+    engine.take(this);
   }
 }
--- a/src/main/java/hollyslip/engine/Piece.java
+++ b/src/main/java/hollyslip/engine/Piece.java
@@ -16,6 +16,8 @@
   final long length;
   /** Attempts, in order of their numbers. */
   final List<Attempt> attempts = new ArrayList<>(1);
+  /** Ends its wait for its blocks. */
+  Timers.Entry patience;
   boolean known;
   boolean answered;
   /** Attempts that may still have an effect at a node. */
--- a/src/main/java/hollyslip/front/sys/Linux.java
+++ b/src/main/java/hollyslip/front/sys/Linux.java
@@ -330,6 +330,15 @@
       return windows[window].slice((int) (at - (long) window * MOST_VIEW), (int) size);
     }
 
+    /** Copies {@code size} bytes to the start of a buffer, without a view of its own. */
+    public void copy(long at, ByteBuffer to, int size) {
+      if (at < 0 || size < 0 || at > length - size) {
+        throw new IndexOutOfBoundsException(at + "+" + size + " of " + length);
+      }
+      int window = (int) Math.min(at / MOST_VIEW, windows.length - 1);
+      to.put(0, windows[window], (int) (at - (long) window * MOST_VIEW), size);
+    }
+
     /** Ends it; again does nothing. Where the kernel has no room for empty memory the shared one stays until
      * no view is left. */
     public synchronized void unmap() {
--- a/src/main/java/hollyslip/front/vhost/BlockRequest.java
+++ b/src/main/java/hollyslip/front/vhost/BlockRequest.java
@@ -38,8 +38,7 @@
   static BlockRequest read(Virtqueue.Chain chain, Volume volume, int tailBytes) {
     List<ByteBuffer> in = chain.readable;
     List<ByteBuffer> out = chain.writable;
-    byte[] header = take(in, HEADER, "request header: not " + HEADER + " readable bytes");
-    ByteBuffer h = ByteBuffer.wrap(header).order(ByteOrder.LITTLE_ENDIAN);
+    ByteBuffer h = take(in, HEADER, "request header: not 16 readable bytes");
     int type = h.getInt(0);
     long sector = h.getLong(8);
     ByteBuffer tail = tail(out, tailBytes);
@@ -74,7 +73,7 @@
     if (size(in) != SEGMENT) {
       return refuse(tail, size(in) > SEGMENT ? UNSUPP : IOERR);
     }
-    ByteBuffer s = ByteBuffer.wrap(take(in, SEGMENT, "segment")).order(ByteOrder.LITTLE_ENDIAN);
+    ByteBuffer s = take(in, SEGMENT, "segment");
     int flags = s.getInt(12);
     if ((flags & (kind == IoKind.DISCARD ? ~0 : ~1)) != 0) {
       return refuse(tail, UNSUPP);
@@ -83,8 +82,12 @@
     return whole(kind, s.getLong(0), length, List.of(), tail, volume);
   }
 
-  /** Cuts so many bytes off the front of a row of buffers. */
-  private static byte[] take(List<ByteBuffer> row, int n, String field) {
+  /** Cuts so many bytes off the front of a row of buffers: a view where they lie in one, which must be read
+   * once only, else a copy. */
+  private static ByteBuffer take(List<ByteBuffer> row, int n, String field) {
+    if (!row.isEmpty() && row.get(0).remaining() == n) {
+      return row.remove(0);
+    }
     byte[] bytes = new byte[n];
     int got = 0;
     while (got < n) {
@@ -99,16 +102,17 @@
         row.set(0, b.slice(b.position() + k, b.remaining() - k).order(ByteOrder.LITTLE_ENDIAN));
       }
     }
-    return bytes;
+    return ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
   }
 
   private static ByteBuffer tail(List<ByteBuffer> out, int n) {
     Violation.check(!out.isEmpty(), "request status: no writable byte");
     ByteBuffer last = out.remove(out.size() - 1);
-    Violation.check(last.remaining() >= n, "request status: the last buffer has fewer than " + n + " bytes");
-    if (last.remaining() > n) {
-      out.add(last.slice(0, last.remaining() - n).order(ByteOrder.LITTLE_ENDIAN));
+    Violation.check(last.remaining() >= n, "request status: too short, bytes needed: ", n);
+    if (last.remaining() == n) {
+      return last;
     }
+    out.add(last.slice(0, last.remaining() - n).order(ByteOrder.LITTLE_ENDIAN));
     return last.slice(last.remaining() - n, n).order(ByteOrder.LITTLE_ENDIAN);
   }
 
--- a/src/main/java/hollyslip/front/vhost/GuestMemory.java
+++ b/src/main/java/hollyslip/front/vhost/GuestMemory.java
@@ -41,6 +41,10 @@
       return mapping.view(shift + at, length).order(ByteOrder.LITTLE_ENDIAN);
     }
 
+    void copy(long at, ByteBuffer to, int length) {
+      mapping.copy(shift + at, to, length);
+    }
+
     void hold() {
       holders.incrementAndGet();
     }
@@ -99,6 +103,14 @@
     throw new Violation(field + ": outside shared memory");
   }
 
+  /** Copies a range of guest memory, which must lie in one region, to the start of {@code to}. */
+  void copy(long address, ByteBuffer to, int length) {
+    Region r = find(address);
+    long at = address - r.guest;
+    Violation.check(length <= r.size - at, "indirect descriptor.addr: a table in two regions");
+    r.copy(at, to, length);
+  }
+
   /** Adds views of a range of guest memory to {@code to} and the regions touched to {@code held}; a range may
    * go on in the next region. */
   void byGuest(long address, long length, List<ByteBuffer> to, List<Region> held) {
--- a/src/main/java/hollyslip/front/vhost/Violation.java
+++ b/src/main/java/hollyslip/front/vhost/Violation.java
@@ -11,4 +11,17 @@
       throw new Violation(what);
     }
   }
+
+  /** For the way of each request: the text is made of its parts only when it is needed. */
+  static void check(boolean ok, String field, long figure) {
+    if (!ok) {
+      throw new Violation(field + figure);
+    }
+  }
+
+  static void check(boolean ok, String field, long figure, String of, long most) {
+    if (!ok) {
+      throw new Violation(field + figure + of + most);
+    }
+  }
 }
--- a/src/main/java/hollyslip/front/vhost/Virtqueue.java
+++ b/src/main/java/hollyslip/front/vhost/Virtqueue.java
@@ -19,6 +19,8 @@
   private ByteBuffer table, avail, used;
   private final boolean eventIdx;
   private final boolean[] inFlight;
+  /** Copy of the indirect table that is being read: the client may change its own meanwhile. */
+  private final ByteBuffer indirect;
   private InflightLog log;
   private int lastAvail;
   private int usedIdx;
@@ -44,6 +46,7 @@
     this.used = used;
     this.eventIdx = eventIdx;
     inFlight = new boolean[size];
+    indirect = ByteBuffer.allocate(16 * size).order(ByteOrder.LITTLE_ENDIAN);
     lastAvail = base & 0xffff;
     usedIdx = Short.toUnsignedInt(used.getShort(2));
     signalled = usedIdx;
@@ -84,10 +87,10 @@
     if (ahead == 0) {
       return -1;
     }
-    Violation.check(ahead <= size, "avail.idx: jumps by " + ahead + " in a queue of " + size);
+    Violation.check(ahead <= size, "avail.idx: jumps by ", ahead, " in a queue of ", size);
     int head = Short.toUnsignedInt(avail.getShort(4 + 2 * (lastAvail % size)));
-    Violation.check(head < size, "avail.ring: head " + head + " in a queue of " + size);
-    Violation.check(!inFlight[head], "avail.ring: head " + head + " is in flight already");
+    Violation.check(head < size, "avail.ring: head ", head, " in a queue of ", size);
+    Violation.check(!inFlight[head], "avail.ring: in flight already is head ", head);
     lastAvail = lastAvail + 1 & 0xffff;
     inFlight[head] = true;
     count++;
@@ -125,7 +128,7 @@
       boolean direct) {
     int at = first;
     for (int steps = 1;; steps++) {
-      Violation.check(at < entries, "descriptor.next: " + at + " of " + entries);
+      Violation.check(at < entries, "descriptor.next: ", at, " of ", entries);
       Violation.check(steps <= entries, "descriptor.next: the chain loops");
       long address = from.getLong(16 * at);
       long length = Integer.toUnsignedLong(from.getInt(16 * at + 8));
@@ -139,8 +142,8 @@
       }
       boolean write = (flags & WRITE) != 0;
       Violation.check(write || chain.writable.isEmpty(), "descriptor.flags: readable after writable");
-      Violation.check(length > 0 && address >= 0 && address <= Long.MAX_VALUE - length, "descriptor.len: "
-          + length);
+      Violation.check(length > 0 && address >= 0 && address <= Long.MAX_VALUE - length, "descriptor.len: ",
+          length);
       memory.byGuest(address, length, write ? chain.writable : chain.readable, chain.regions);
       if ((flags & NEXT) == 0) {
         return;
@@ -150,14 +153,10 @@
   }
 
   private void indirect(long address, long length, GuestMemory memory, Chain chain) {
-    Violation.check(length > 0 && length % 16 == 0 && length / 16 <= size, "indirect descriptor.len: "
-        + length);
-    List<ByteBuffer> views = new ArrayList<>(1);
-    memory.byGuest(address, length, views, new ArrayList<>(1));
-    Violation.check(views.size() == 1, "indirect descriptor.addr: a table in two regions");
-    byte[] copy = new byte[(int) length];
-    views.get(0).get(0, copy);
-    walk(ByteBuffer.wrap(copy).order(ByteOrder.LITTLE_ENDIAN), (int) length / 16, 0, memory, chain, false);
+    Violation.check(length > 0 && length % 16 == 0 && length / 16 <= size, "indirect descriptor.len: ",
+        length);
+    memory.copy(address, indirect, (int) length);
+    walk(indirect, (int) length / 16, 0, memory, chain, false);
   }
 
   /** Gives a chain back with so many bytes written. */
--- a/src/main/java/hollyslip/load/RingClient.java
+++ b/src/main/java/hollyslip/load/RingClient.java
@@ -9,7 +9,6 @@
 import java.nio.ByteOrder;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 
 /** A vhost-user-blk front end: shares memory with a gateway and asks it through split virtqueues. For one
  * thread. Each queue has slots; a slot holds one request in three descriptors or in an indirect table. */
@@ -404,7 +403,11 @@
 
   /** Requests that are out. */
   public int out() {
-    return Arrays.stream(queues).mapToInt(Queue::out).sum();
+    int n = 0;
+    for (Queue q : queues) {
+      n += q.out();
+    }
+    return n;
   }
 
   /** Stops a queue; index of the next entry of its available ring. */
--- a/src/main/java/hollyslip/node/NbdConnection.java
+++ b/src/main/java/hollyslip/node/NbdConnection.java
@@ -15,10 +15,9 @@
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.agrona.collections.Long2ObjectHashMap;
 
 /** One connection to a node: commands go out in one stream, pipelined, replies come back in any order by
  * cookie. All state is guarded by the connection's monitor, which is held only for copies in memory. */
@@ -56,7 +55,7 @@
     QUEUED, SENDING, SENT
   }
 
-  private static final class Slot {
+  private final class Slot {
     final Attempt attempt;
     final long cookie;
     final List<ByteBuffer> data;
@@ -70,6 +69,10 @@
       this.cookie = cookie;
       data = attempt.kind() == IoKind.READ || attempt.kind() == IoKind.WRITE ? attempt.data() : List.of();
     }
+
+    NbdConnection connection() {
+      return NbdConnection.this;
+    }
   }
 
   final Fence fence;
@@ -78,7 +81,13 @@
   private final AsynchronousSocketChannel channel;
   private final NbdHandshake handshake;
   private final ArrayDeque<Slot> queue = new ArrayDeque<>();
-  private final Map<Long, Slot> flight = new HashMap<>();
+  private final Long2ObjectHashMap<Slot> flight = new Long2ObjectHashMap<>();
+  /** Of {@link #flight}, how many are given up. */
+  private int detached;
+  /** Queued or out; written under the monitor. */
+  private volatile int size;
+  /** Whether the pool has it among those with something to send; the pool's thread. */
+  boolean dirty;
   private final ByteBuffer in = ByteBuffer.allocateDirect(IN_BYTES);
   private final ByteBuffer headers = ByteBuffer.allocateDirect((BURST + 1) * HEADER);
   private final ByteBuffer staging = ByteBuffer.allocateDirect(STAGING);
@@ -118,6 +127,7 @@
     Slot slot = new Slot(attempt, attempt.request() << 12 | attempt.number() & 0xfff);
     attempt.handle = slot;
     queue.add(slot);
+    size++;
     return true;
   }
 
@@ -154,13 +164,14 @@
       return Withdrawn.ENDED;
     }
     if (slot.stage == Stage.QUEUED) {
-      queue.remove(slot);
+      size -= queue.remove(slot) ? 1 : 0;
       return Withdrawn.NEVER_SENT;
     }
     if (flight.get(slot.cookie) != slot) {
       return Withdrawn.ENDED;
     }
     slot.detached = true;
+    detached++;
     return Withdrawn.MAY_RUN;
   }
 
@@ -168,25 +179,34 @@
   synchronized List<Attempt> takeBack() {
     List<Attempt> waiting = queue.stream().map(s -> s.attempt).toList();
     queue.clear();
+    size -= waiting.size();
     return waiting;
   }
 
   /** Attempts queued or out whose end is still to be told. */
   synchronized int live() {
-    int n = queue.size();
-    for (Slot s : flight.values()) {
-      n += s.detached ? 0 : 1;
-    }
-    return n;
+    return size - detached;
   }
 
   /** Attempts queued or out, given up or not. */
-  synchronized int size() {
-    return queue.size() + flight.size();
+  int size() {
+    return size;
+  }
+
+  /** The connection to which an attempt was given; null: none was. */
+  static NbdConnection carrier(Attempt attempt) {
+    return attempt.handle instanceof Slot s ? s.connection() : null;
+  }
+
+  synchronized boolean isOpen() {
+    return !closed;
   }
 
   /** Whether it has been silent for so long while something given up was out. */
   synchronized boolean silentFor(long ns) {
+    if (detached == 0) {
+      return false;
+    }
     long from = System.nanoTime();
     for (Slot s : flight.values()) {
       if (s.detached && from - Math.max(s.sentNs, heardNs) > ns) {
@@ -258,6 +278,8 @@
       flight.values().forEach(s -> (s.detached ? silent : sent).add(s.attempt));
       flight.clear();
       queue.clear();
+      size = 0;
+      detached = 0;
     }
     owner.closed(this, why, waiting, sent, silent);
   }
@@ -271,14 +293,15 @@
     staging.clear();
     long bytes = 0;
     int from = 0;
+    long at = System.nanoTime();
     if (probing && probeNs == 0) {
-      probeNs = System.nanoTime();
+      probeNs = at;
       header(0, Nbd.CMD_BLOCK_STATUS, LOAD_COOKIE, 0, load.length * Nbd.LOAD_STEP);
     }
     while (!queue.isEmpty() && burst.size() < BURST && bytes < BURST_BYTES) {
       Slot s = queue.poll();
       s.stage = Stage.SENDING;
-      s.sentNs = System.nanoTime();
+      s.sentNs = at;
       flight.put(s.cookie, s);
       burst.add(s);
       header(0, command(s.attempt.kind()), s.cookie, s.attempt.offset(), (int) s.attempt.length());
@@ -536,6 +559,8 @@
       return;
     }
     Slot s = flight.remove(cookie);
+    size--;
+    detached -= s.detached ? 1 : 0;
     if (error == Nbd.EPERM && handshake.loadContext() >= 0 && message.equals(Nbd.MESSAGE_FENCED)) {
       fencedOff = true;
       if (s.detached) {
--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -10,13 +10,13 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Executors;
+import org.agrona.collections.Long2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -62,9 +62,9 @@
   private final News news;
   private final List<String> reportFields;
   private final AsynchronousChannelGroup group;
-  private final Map<Long, Target> targets = new HashMap<>();
-  private final Set<NbdConnection> dirty = new java.util.LinkedHashSet<>();
-  private final Map<Attempt, NbdConnection> carriers = new java.util.IdentityHashMap<>();
+  private final Long2ObjectHashMap<Target> targets = new Long2ObjectHashMap<>();
+  /** Those with something to send, at the end of the engine's turn. */
+  private final List<NbdConnection> dirty = new ArrayList<>();
   private Holder holder;
   private boolean closing;
 
@@ -120,8 +120,10 @@
     if (c == null) {
       engine.outcome(attempt, Result.FULL, null);
     } else if (c.add(attempt)) {
-      carriers.put(attempt, c);
-      dirty.add(c);
+      if (!c.dirty) {
+        c.dirty = true;
+        dirty.add(c);
+      }
     } else {
       engine.outcome(attempt, Result.CONNECT_FAILED, null);
     }
@@ -177,7 +179,7 @@
 
   @Override
   public Withdrawn withdraw(Attempt attempt) {
-    NbdConnection c = carriers.get(attempt);
+    NbdConnection c = NbdConnection.carrier(attempt);
     return c == null ? Withdrawn.ENDED : c.withdraw(attempt);
   }
 
@@ -186,8 +188,8 @@
   @Override
   public void fence(Attempt attempt) {
     Target t = targets.get(attempt.node());
-    NbdConnection c = carriers.get(attempt);
-    if (c != null) {
+    NbdConnection c = NbdConnection.carrier(attempt);
+    if (c != null && c.isOpen()) {
       LOG.atInfo()
           .addKeyValue("node", t.address.name())
           .addKeyValue("connection", c.fence.serial())
@@ -204,6 +206,7 @@
     Target t = targets.get(node);
     for (NbdConnection c : t == null ? List.<NbdConnection>of() : t.connections) {
       if (c.probe()) {
+        c.dirty = true;
         dirty.add(c);
         return;
       }
@@ -213,10 +216,11 @@
 
   @Override
   public void flush() {
-    if (!dirty.isEmpty()) {
-      dirty.forEach(NbdConnection::flush);
-      dirty.clear();
+    for (int i = 0; i < dirty.size(); i++) {
+      dirty.get(i).dirty = false;
+      dirty.get(i).flush();
     }
+    dirty.clear();
   }
 
   @Override
@@ -248,7 +252,7 @@
         load[Nbd.Load.AGE_MS.ordinal()] * 1_000);
     if (fresh) {
       // What waited was sent by the module to the process before: it decides anew for a cold one.
-      c.takeBack().forEach(a -> over(a, Result.MOOT));
+      c.takeBack().forEach(a -> ended(a, Result.MOOT));
     }
     if (c.fenced()) {
       t.doubts.entrySet().removeIf(e -> {
@@ -280,20 +284,12 @@
 
   @Override
   public void ended(Attempt attempt, Result result) {
-    engine.execute(() -> over(attempt, result));
-  }
-
-  private void over(Attempt attempt, Result result) {
-    carriers.remove(attempt);
     engine.outcome(attempt, result, null);
   }
 
   @Override
   public void resolved(Attempt attempt) {
-    engine.execute(() -> {
-      carriers.remove(attempt);
-      engine.resolved(attempt);
-    });
+    engine.resolved(attempt);
   }
 
   @Override
@@ -333,16 +329,13 @@
       // The next negotiation tells who holds our name.
       open(t);
     }
-    waiting.forEach(a -> over(a, Result.CONNECT_FAILED));
+    waiting.forEach(a -> ended(a, Result.CONNECT_FAILED));
     List<Attempt> doubt = new ArrayList<>();
     for (Attempt a : sent) {
-      over(a, Result.RESET);
-      doubt.add(a);
-    }
-    for (Attempt a : silent) {
-      carriers.remove(a);
+      ended(a, Result.RESET);
       doubt.add(a);
     }
+    doubt.addAll(silent);
     doubt.removeIf(a -> !a.kind().changes());
     if (doubt.isEmpty() || closing) {
       if (!t.doubts.isEmpty()) {
--- a/src/test/java/hollyslip/engine/DecisionsTest.java
+++ b/src/test/java/hollyslip/engine/DecisionsTest.java
@@ -18,7 +18,7 @@
 class DecisionsTest {
   private static Piece piece(long id, int shard, long offset, long length) {
     Io io = new Io("v", IoKind.WRITE, offset, length, List.of(), 0, null);
-    return new Piece(id, new Operation(io, null, "write", false, 0, 0), shard, offset, 0, length);
+    return new Piece(id, new Operation(null, io, null, null, 0), shard, offset, 0, length);
   }
 
   @Test
@@ -135,19 +135,53 @@
     t.set(20, () -> ran.add("c"));
     Timers.Entry gone = t.set(5, () -> ran.add("gone"));
     gone.cancel();
+    assertEquals(3, t.size(), "what is cancelled is gone, with all that it points to");
     assertEquals(10, t.next());
     t.run(20);
     assertEquals(List.of("a", "b", "c"), ran);
     assertEquals(Long.MAX_VALUE, t.next());
   }
 
+  /** Against a sorted list: any order of setting, cancelling and running. */
+  @Property(tries = 300, seed = "22")
+  void timersAreAHeapWithRemoval(@ForAll @Size(min = 1, max = 200) List<@IntRange(max = 99) Integer> steps) {
+    Timers t = new Timers();
+    List<long[]> left = new ArrayList<>();
+    List<Timers.Entry> entries = new ArrayList<>();
+    List<Long> ran = new ArrayList<>();
+    List<Long> expected = new ArrayList<>();
+    long id = 0;
+    for (int step : steps) {
+      if (step < 60 || left.isEmpty()) {
+        long n = id++;
+        entries.add(t.set(step, () -> ran.add(n)));
+        left.add(new long[]{step, n});
+      } else if (step < 85) {
+        long[] gone = left.remove(step % left.size());
+        entries.get((int) gone[1]).cancel();
+        entries.get((int) gone[1]).cancel();
+      } else {
+        long now = step - 60;
+        t.run(now);
+        left.stream()
+            .filter(e -> e[0] <= now)
+            .sorted((a, b) -> a[0] != b[0] ? Long.compare(a[0], b[0]) : Long.compare(a[1], b[1]))
+            .forEach(e -> expected.add(e[1]));
+        left.removeIf(e -> e[0] <= now);
+      }
+      assertEquals(left.size(), t.size());
+      assertEquals(left.stream().mapToLong(e -> e[0]).min().orElse(Long.MAX_VALUE), t.next());
+    }
+    assertEquals(expected, ran);
+  }
+
   @Test
   void aPieceSeesItsPartOfTheBuffers() {
     ByteBuffer first = ByteBuffer.allocate(10);
     ByteBuffer second = ByteBuffer.allocate(10);
     second.put(2, (byte) 7);
     Io io = new Io("v", IoKind.READ, 0, 20, List.of(first, second), 0, null);
-    Operation op = new Operation(io, null, "read", true, 0, 0);
+    Operation op = new Operation(null, io, null, null, 0);
     List<ByteBuffer> mine = new Piece(1, op, 0, 0, 8, 6).data();
     assertEquals(List.of(2, 4), mine.stream().map(ByteBuffer::remaining).toList());
     assertEquals(7, mine.get(1).get(2));
