The window rests near its start where nodes take long; a backlog no longer costs

Each choice looked at all that waits, and done requests stayed in the heap of deadlines until these were due. Change: the whole part of a window counts as full only where latencies tell of no queue. Requests of a volume wait by sorts that earn the same, in order of aim; a choice looks at the first of each. Deadlines are removed with their requests. A volume's limit that is new to a module always starts empty.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -1,19 +1,6 @@
 package hollyslip;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Objects;
-import java.util.PriorityQueue;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.function.Consumer;
 
 /** All decisions of one host's scheduler, after AdapTBF (adaptive token borrowing). Its events and actions
@@ -40,17 +27,18 @@
   /** ...and narrows above this one; between the two it rests, so that noise does not move it. */
   static final double FAR_FROM_USUAL = 2.4;
 
-  /** Part of the shortest aim below which latencies tell of no queue, however they differ: nodes that answer
-   * in microseconds jitter by several times, which would keep the window at one or two. Harm: at such a node
-   * a queue of that length goes unseen. */
+  /** Part of the shortest aim below which latencies tell of no queue, however they differ, and a window's
+   * whole part counts as full: nodes that answer in microseconds jitter by several times and take all a host
+   * has. Above it a window that is no whole number rests: hosts share such nodes. Harm: a short queue
+   * unseen. */
   static final double NOISE = 0.01;
 
   /** Part of the window kept by one narrowing, of which there is at most one a latency. */
   static final double NARROW = 0.85;
 
   /** The latency estimate of a node fades toward the usual one in so many mean gaps between this host's
-   * requests for it, and in these bounds, us: hosts that make up much of a node's queue look again soon, one
-   * of a hundred only now and then, so that all together do not fill it while they look. */
+   * requests for it, in these bounds, us: hosts that make up much of its queue look again soon, one of a
+   * hundred now and then, so that together they do not fill it while they look. */
   static final double FADE_ASKS = 6, FADE_LEAST = 500_000, FADE_MOST = 2_000_000;
 
   /** Moves of the usual latency at a faster and at a slower answer of any node: a quarter come to be
@@ -61,7 +49,7 @@
   static final double UNSEEN = 2;
 
   /** A safe attempt sent in time is given up this part of its aim after it: nodes that drop what is given up
-   * lose the tail of their queue, which earns little; harm: where they do not, a late answer is missed. */
+   * lose what earns little; harm: where they do not, a late answer is missed. */
   static final double GIVE_UP = 0.5;
 
   /** Weight of one more silence in what they mean. */
@@ -98,7 +86,9 @@
   static final long KEYED_MARGIN = 20_000;
 
   private final Settings settings;
-  private final Map<String, ClassFacts> classes = new HashMap<>();
+  private final Map<String, RequestClass> classes = new HashMap<>();
+  /** The longest time a client of a class had left at arrival: what is missing from it has passed before. */
+  private final Map<RequestClass, Long> mostRemaining = new HashMap<>();
   private final Map<String, Plan> plans = new HashMap<>();
   private final Map<Long, Node> nodes = new TreeMap<>();
   private final Map<Long, Pending> pendings = new LinkedHashMap<>();
@@ -109,7 +99,7 @@
   private final Map<Long, VolumeChanged> terms = new HashMap<>();
   private final Set<Long> leaving = new HashSet<>();
   private final TreeMap<Long, Pending> unplaced = new TreeMap<>();
-  private final PriorityQueue<Pending> byDeadline = new PriorityQueue<>(Comparator.<Pending>comparingLong(
+  private final TreeSet<Pending> byDeadline = new TreeSet<>(Comparator.<Pending>comparingLong(
       p -> p.deadline).thenComparingLong(p -> p.seq));
   private final SplittableRandom random;
   private final Budget budget;
@@ -127,7 +117,7 @@
 
   public Choice(Settings settings) {
     this.settings = Objects.requireNonNull(settings, "settings");
-    settings.classes().forEach(c -> classes.put(c.name(), new ClassFacts(c)));
+    settings.classes().forEach(c -> classes.put(c.name(), c));
     settings.plans().forEach(p -> plans.put(p.name(), p));
     random = new SplittableRandom(settings.seed());
     budget = new Budget(settings.rules());
@@ -136,16 +126,6 @@
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
   }
 
-  /** A class and the longest time a client has left at arrival: what is missing from it has passed before. */
-  private static final class ClassFacts {
-    final RequestClass rules;
-    long mostRemaining;
-
-    ClassFacts(RequestClass rules) {
-      this.rules = rules;
-    }
-  }
-
   /** Rule 6: requests of one key, in order of arrival; the first alone may be sent. */
   private static final class KeyLine {
     final ArrayDeque<Pending> queue = new ArrayDeque<>();
@@ -155,48 +135,46 @@
   /** Rule 7: attempts beyond the first against requests taken, in a sliding window. */
   static final class Budget {
     private final Rules rules;
-    private final ArrayDeque<Long> taken = new ArrayDeque<>();
-    private final ArrayDeque<Long> extra = new ArrayDeque<>();
+    private final ArrayDeque<Long> taken = new ArrayDeque<>(), extra = new ArrayDeque<>();
 
     Budget(Rules rules) {
       this.rules = rules;
     }
 
     void took(long now) {
+      note(taken, now);
+    }
+
+    void spend(long now) {
+      note(extra, now);
+    }
+
+    private void note(ArrayDeque<Long> times, long now) {
       if (rules.budgetWindowUs() > 0) {
-        taken.add(now);
+        times.add(now);
       }
     }
 
     /** Both counts are taken over the same span; a request exactly as old as the span is left out, an extra
      * kept. */
     boolean allows(long now) {
-      if (rules.budgetWindowUs() <= 0) {
-        return true;
-      }
-      while (!taken.isEmpty() && taken.peek() <= now - rules.budgetWindowUs()) {
+      long from = now - rules.budgetWindowUs();
+      while (!taken.isEmpty() && taken.peek() <= from) {
         taken.poll();
       }
-      while (!extra.isEmpty() && extra.peek() < now - rules.budgetWindowUs()) {
+      while (!extra.isEmpty() && extra.peek() < from) {
         extra.poll();
       }
-      return extra.size() + 1 <= rules.budgetFree() + rules.budgetShare() * taken.size();
-    }
-
-    void spend(long now) {
-      if (rules.budgetWindowUs() > 0) {
-        extra.add(now);
-      }
+      return rules.budgetWindowUs() <= 0 || extra.size() + 1 <= rules.budgetFree() + rules.budgetShare()
+          * taken.size();
     }
   }
 
-  /** Rule 5: a volume's limit, this host's part. It starts empty at each launch and fills from then on: a
-   * restarted host has forgotten what it spent, and so can never be above the part it would have had without
-   * the restart. The first seconds after a launch are the price. */
+  /** Rule 5: a volume's limit, this host's part. It starts empty at each launch: a restarted host has
+   * forgotten what it spent, and so is never above its part. The first seconds after a launch are the
+   * price. */
   static final class Limit {
-    private double depth;
-    private double rate;
-    private double level;
+    private double depth, rate, level;
     private long at;
 
     Limit(double perSecond, double depth, double level, long at) {
@@ -206,8 +184,7 @@
       rate = perSecond / 1e6;
     }
 
-    /** Another rate and depth from now on. What was earned by the old rate stays as far as it fits the new
-     * depth, and nothing is added: no change refills a bucket, and a lowered one holds at once. */
+    /** Another rate and depth from now on: what was earned stays as far as it fits, nothing is added. */
     void change(double perSecond, double newDepth, long now) {
       level = Math.min(newDepth, Math.min(depth, level + rate * (now - at)));
       at = now;
@@ -226,21 +203,33 @@
     }
   }
 
+  /** Requests of one volume that earn the same and may go by the same limit and budget; in it, by aim. */
+  record Sort(RequestClass rules, double units, boolean again, boolean paid) {}
+
+  record Aim(long at, long seq) implements Comparable<Aim> {
+    @Override
+    public int compareTo(Aim o) {
+      return at != o.at ? Long.compare(at, o.at) : Long.compare(seq, o.seq);
+    }
+  }
+
   /** A request until its final answer is given and its last attempt has ended. */
   static final class Pending {
     final Request request;
     final RequestClass rules;
     final long seq;
-    final long cameAt;
-    final long deadline;
-    final long aimAt;
+    final long cameAt, deadline, aimAt;
+    final Aim aim;
     /** Even over 0 to 1, from the instance's seed. */
     final double chance;
     final Limit reserve;
-    Plan plan;
     Limit limit;
+    Plan plan;
     KeyLine line;
     Node node;
+    /** Where it is held, or was last. */
+    Volume at;
+    Sort sort;
     int attempts, out;
     long notBefore, sentAt;
     boolean done, streaming, overdue, paid;
@@ -250,10 +239,10 @@
     long doubtAt;
     boolean doubtKept;
 
-    Pending(Request request, ClassFacts facts, Plan plan, long seq, long now, double chance, Limit limit,
-        Limit reserve) {
+    Pending(Request request, RequestClass rules, long most, Plan plan, long seq, long now, double chance,
+        Limit limit, Limit reserve) {
       this.request = request;
-      this.rules = facts.rules;
+      this.rules = rules;
       this.plan = plan;
       this.seq = seq;
       this.limit = limit;
@@ -261,8 +250,8 @@
       this.chance = chance;
       cameAt = now;
       deadline = now + request.remainingUs();
-      facts.mostRemaining = Math.max(facts.mostRemaining, request.remainingUs());
-      aimAt = now + facts.rules.aimUs() - (facts.mostRemaining - request.remainingUs());
+      aimAt = now + rules.aimUs() - (most - request.remainingUs());
+      aim = new Aim(aimAt, seq);
     }
 
     /** Rule 2: whether one more attempt may go to this node now. */
@@ -289,18 +278,17 @@
 
   /** A volume at a node: what it holds there, its bucket, its demand and its record of lending. */
   static final class Volume {
-    final long key;
     final double depth;
     double weight, groupWeight;
     long group;
-    final TreeMap<Long, Pending> held = new TreeMap<>();
+    /** By what the requests of one sort have in common, then by aim: a choice looks at a few of them. */
+    final Map<Sort, TreeMap<Aim, Pending>> held = new LinkedHashMap<>();
     long filledAt, lastAsked, faded;
     boolean known;
     double tokens, rate, asked, record;
     double p, u, d, alpha, lent, df, lastAlpha;
 
-    Volume(long key, double weight, double depth, long now) {
-      this.key = key;
+    Volume(double weight, double depth, long now) {
       this.depth = depth;
       share(weight, 0, weight);
       tokens = depth;
@@ -386,8 +374,7 @@
 
     /** Rule 4: of requests first sent and still in time a cold node gets the part that the rules promise of
      * its capacity at the age it had when the request came. Chance decides for each, so hosts need not agree
-     * on parts, however many they are, and no restart gains anything. Nothing that waited for the node goes
-     * at once, nothing twice, and no host alone, whatever comes to it, passes what is always safe. */
+     * and no restart gains anything; and no host alone passes what is always safe. */
     boolean bears(Pending p) {
       if (!cold()) {
         return true;
@@ -442,14 +429,14 @@
     }
 
     /** Learns from what followed a silence, on any node, whether silences mean long queues and dead nodes or
-     * that answers get lost; the latter hold nothing back. Harm: a dead node is tried more often. */
+     * that answers get lost, which holds nothing back. Harm: a dead node is tried more often. */
     void silenceMeant(boolean onlyLost) {
       silent = false;
       lost += LOST_GAIN * ((onlyLost ? 1 : 0) - lost);
     }
 
-    /** An answer after refused connections guards against a node back from a crash before the list tells of
-     * it, also against a cut link that heals. Harm: one merely out of connections gets less. */
+    /** An answer after refused connections: the node may be back from a crash before the list tells of it.
+     * Harm: one merely out of connections gets less. */
     void answered(double tookUs) {
       if (silent) {
         silenceMeant(tookUs < shortestAim / 2);
@@ -462,7 +449,8 @@
       refused = 0;
       double near = Math.max(usual, NOISE * shortestAim);
       if (seen < NEAR_USUAL * near) {
-        window = Math.min(WINDOW_MAX, out + 1 >= (int) window ? window + 1 / window : window);
+        boolean full = out + 1 >= (seen < NOISE * shortestAim ? (int) window : window);
+        window = Math.min(WINDOW_MAX, full ? window + 1 / window : window);
       } else if (seen > FAR_FROM_USUAL * near) {
         narrow(NARROW);
       }
@@ -475,10 +463,9 @@
       }
     }
 
-    /** Takes attempts out of the window's count that are far overdue. It guards against answers lost one by
-     * one and single requests of giant work, which would fill the window and stop a node that works; where
-     * nothing sent later was answered, against a node that hangs. Harm: one that serves the last first gets
-     * more than its window, up to the ceiling. */
+    /** Takes attempts far overdue out of the window's count. Guards against lost answers and giant requests,
+     * which would fill the window of a node that works; where nothing sent later was answered, against one
+     * that hangs. Harm: one that serves the last first gets more than its window, up to the ceiling. */
     void writeOff() {
       for (Pending p : flight) {
         if (now - p.sentAt < UNSEEN * shortestAim) {
@@ -497,19 +484,20 @@
     }
 
     Volume volume(Pending p) {
-      return volumes.computeIfAbsent(p.request.volume(), k -> {
-        Volume v = new Volume(k, p.plan.weight(), BUCKET_DEPTH * settings.store().meanUnits(), now);
-        VolumeChanged t = terms.get(k);
+      Volume v = volumes.get(p.request.volume());
+      if (v == null) {
+        v = new Volume(p.plan.weight(), BUCKET_DEPTH * settings.store().meanUnits(), now);
+        volumes.put(p.request.volume(), v);
+        VolumeChanged t = terms.get(p.request.volume());
         if (t != null) {
           v.share(t.plan().weight(), t.group(), t.groupWeight());
         }
-        return v;
-      });
+      }
+      return v;
     }
 
     /** Brings a volume's record (equation 8) to a multiple of itself. Records are claims on each other, so
-     * those of the other sign bear the difference in proportion, as far as they reach: what one is forgiven
-     * its creditors lose, what one gives up its debtors are forgiven. Harm: who had lent loses the claim. */
+     * those of the other sign bear the difference in proportion. Harm: who had lent loses the claim. */
     void settle(Volume v, double multiple) {
       v.fade(periods);
       double record = v.record * multiple;
@@ -529,19 +517,23 @@
     }
 
     void hold(Pending p) {
-      Volume v = volume(p);
-      v.held.put(p.seq, p);
-      holding.add(v);
+      p.at = volume(p);
+      p.sort = new Sort(p.rules, p.request.units(), p.attempts > 0, p.paid);
+      p.at.held.computeIfAbsent(p.sort, k -> new TreeMap<>()).put(p.aim, p);
+      holding.add(p.at);
       p.node = this;
       held++;
     }
 
     void unhold(Pending p) {
-      Volume v = volume(p);
-      if (v.held.remove(p.seq) != null) {
+      TreeMap<Aim, Pending> line = p.at.held.get(p.sort);
+      if (line != null && line.remove(p.aim) != null) {
         held--;
-        if (v.held.isEmpty()) {
-          holding.remove(v);
+        if (line.isEmpty()) {
+          p.at.held.remove(p.sort);
+        }
+        if (p.at.held.isEmpty()) {
+          holding.remove(p.at);
         }
       }
     }
@@ -574,8 +566,8 @@
     }
   }
 
-  /** Equations 1 and 2: the period's tokens by weight, first over groups, then within each over those of its
-   * volumes that ask: what a quiet one leaves goes to its group. Demand is what was asked in the period. */
+  /** Equations 1 and 2: the period's tokens by weight, over groups, then within each over its volumes that
+   * ask: what a quiet one leaves goes to its group. Demand is what was asked in the period. */
   static void initialAllocation(List<Volume> active, double tokens) {
     double sum = 0;
     Map<Long, Double> within = new HashMap<>();
@@ -654,7 +646,11 @@
     out = Objects.requireNonNull(actions, "actions");
     now = time;
     if (launchedAt == Long.MIN_VALUE) {
-      launch();
+      launchedAt = now;
+      periodEnd = now + PERIOD;
+      if (settings.listOnRequest()) {
+        out.accept(new Watch());
+      }
     }
     if (event instanceof NodeList list) {
       members(list);
@@ -664,16 +660,10 @@
       take(request);
     } else if (event instanceof Outcome outcome) {
       outcome(outcome);
-    } else if (event instanceof Departed gone) {
-      Pending p = pendings.get(gone.request());
-      if (p != null && !p.done) {
-        finish(p);
-      }
-    } else if (event instanceof Started started) {
-      Pending p = pendings.get(started.request());
-      if (p != null) {
-        p.streaming = true;
-      }
+    } else if (event instanceof Departed gone && pendings.containsKey(gone.request())) {
+      finish(pendings.get(gone.request()));
+    } else if (event instanceof Started started && pendings.containsKey(started.request())) {
+      pendings.get(started.request()).streaming = true;
     } else if (event instanceof VolumeChanged changed) {
       change(changed);
     } else if (event instanceof VolumeRemoved gone) {
@@ -686,11 +676,10 @@
   }
 
   /** Other terms for a volume; requests that it holds stand on them too. A limit that is new to it starts
-   * empty. Records are rescaled with the weight: a volume owes, and is owed, the same number of periods of
-   * its part (section III, equation 8) as before, not the same tokens, which a smaller part might never
-   * pay. */
+   * empty. Records (section III, equation 8) are rescaled with the weight: a volume owes the same number of
+   * periods of its part as before, not the same tokens, which a smaller part might never pay. */
   private void change(VolumeChanged c) {
-    VolumeChanged old = terms.put(c.volume(), c);
+    terms.put(c.volume(), c);
     leaving.remove(c.volume());
     Plan plan = c.plan();
     mostValue = Math.max(mostValue, mostWorth * plan.price());
@@ -699,7 +688,7 @@
       limits.remove(c.volume());
     } else if (limit != null) {
       limit.change(plan.limit() / c.hosts(), plan.limitBurst() / c.hosts(), now);
-    } else if (old != null || reserves.containsKey(c.volume())) {
+    } else {
       limits.put(c.volume(), limit(plan, c.hosts(), now));
     }
     Limit reserve = reserves.get(c.volume());
@@ -724,10 +713,8 @@
 
   /** Drops what is known of a volume that was removed, once nothing of it is left; its loans are settled. */
   private void purge(long volume) {
-    for (Pending p : pendings.values()) {
-      if (p.request.volume() == volume) {
-        return;
-      }
+    if (pendings.values().stream().anyMatch(p -> p.request.volume() == volume)) {
+      return;
     }
     leaving.remove(volume);
     terms.remove(volume);
@@ -750,20 +737,11 @@
     return plan.reserve() / hosts + settings.store().mostUnits();
   }
 
-  private void launch() {
-    launchedAt = now;
-    periodEnd = now + PERIOD;
-    if (settings.listOnRequest()) {
-      out.accept(new Watch());
-    }
-  }
-
-  /** What every event ends with: answers that are due, the period, releases, and the timer for the earliest
-   * need. */
+  /** What every event ends with: answers due, the period, releases, the timer for the earliest need. */
   private void turn() {
-    while (!byDeadline.isEmpty() && byDeadline.peek().deadline - settings.tickUs() <= now) {
-      Pending p = byDeadline.poll();
-      if (!p.done && !p.streaming) {
+    while (!byDeadline.isEmpty() && byDeadline.first().deadline - settings.tickUs() <= now) {
+      Pending p = byDeadline.pollFirst();
+      if (!p.streaming) {
         end(p);
       }
     }
@@ -781,12 +759,9 @@
   }
 
   private void arm() {
-    while (!byDeadline.isEmpty() && byDeadline.peek().done) {
-      byDeadline.poll();
-    }
     long at = Math.min(periodEnd, listRetryAt);
     if (!byDeadline.isEmpty()) {
-      at = Math.min(at, byDeadline.peek().deadline - settings.tickUs());
+      at = Math.min(at, byDeadline.first().deadline - settings.tickUs());
     }
     if (blocked) {
       at = Math.min(at, now + POLL);
@@ -816,7 +791,7 @@
       }
       if (n.state != NodeState.ON && n.held > 0) {
         List<Pending> moved = new ArrayList<>();
-        n.volumes.values().forEach(v -> moved.addAll(v.held.values()));
+        n.volumes.values().forEach(v -> v.held.values().forEach(line -> moved.addAll(line.values())));
         moved.forEach(n::unhold);
         moved.forEach(p -> unplaced.put(p.seq, p));
       }
@@ -829,10 +804,10 @@
 
   private void take(Request r) {
     budget.took(now);
-    ClassFacts facts = classes.get(r.className());
+    RequestClass rules = classes.get(r.className());
     VolumeChanged own = terms.get(r.volume());
     Plan plan = own != null ? own.plan() : plans.get(r.plan());
-    if (facts == null || plan == null || r.remainingUs() <= 0) {
+    if (rules == null || plan == null || r.remainingUs() <= 0) {
       out.accept(new Refuse(r.id(), 0));
       return;
     }
@@ -844,7 +819,8 @@
     double depth = reserveDepth(plan, hosts);
     Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
         now));
-    Pending p = new Pending(r, facts, plan, seq++, now, random.nextDouble(), limit, reserve);
+    long most = mostRemaining.merge(rules, r.remainingUs(), Math::max);
+    Pending p = new Pending(r, rules, most, plan, seq++, now, random.nextDouble(), limit, reserve);
     pendings.put(r.id(), p);
     byDeadline.add(p);
     if (p.rules.inOrder() && r.key() != null) {
@@ -853,7 +829,7 @@
     }
     place(p);
     if (p.node != null) {
-      Volume v = p.node.volume(p);
+      Volume v = p.at;
       v.asked += r.units();
       p.node.asking.add(v);
       p.node.gap += LATENCY_GAIN * (Math.min(FADE_MOST, now - p.node.askedAt) - p.node.gap);
@@ -910,13 +886,11 @@
     n.wait = n.expected();
     for (Volume v : n.holding) {
       v.fill(now);
-      for (Pending p : v.held.values()) {
-        if (!ready(n, p)) {
-          blocked = true;
-          continue;
-        }
-        double earns = earns(n, p);
-        if (choice == null || earns > most || earns == most && before(v, p, of, choice)) {
+      for (Map.Entry<Sort, TreeMap<Aim, Pending>> line : v.held.entrySet()) {
+        Pending p = first(n, line.getKey(), line.getValue());
+        double earns = p == null ? 0 : earns(n, p);
+        blocked |= p == null;
+        if (p != null && (choice == null || earns > most || earns == most && before(v, p, of, choice))) {
           choice = p;
           of = v;
           most = earns;
@@ -926,6 +900,28 @@
     return choice;
   }
 
+  /** Of requests of one sort the first by aim that may go: of those still in time, if they earn more. */
+  private Pending first(Node n, Sort sort, TreeMap<Aim, Pending> line) {
+    Pending any = line.firstEntry().getValue();
+    if (sort.again && !budget.allows(now) || any.limit != null && !sort.paid && !any.limit.allows(sort.units,
+        now)) {
+      return null;
+    }
+    long edge = sort.rules.lateWorth() < 1 ? now + (long) (n.wait + beyondMean(any)) : Long.MIN_VALUE;
+    Aim from = new Aim(edge, Long.MIN_VALUE);
+    Pending p = first(n, line.tailMap(from));
+    return p != null ? p : first(n, line.headMap(from));
+  }
+
+  private Pending first(Node n, Map<Aim, Pending> line) {
+    for (Pending p : line.values()) {
+      if (ready(n, p)) {
+        return p;
+      }
+    }
+    return null;
+  }
+
   /** Among those that earn the same a unit: due before not due; the due by due time, the others by weight;
    * within a volume the nearest aim; then by arrival. */
   private boolean before(Volume a, Pending p, Volume b, Pending q) {
@@ -959,24 +955,22 @@
     return p.rules.worth() * p.plan.price() / mostValue * reserved * (late(n, p) ? p.rules.lateWorth() : 1);
   }
 
-  /** Whether a request is worth its place in the node's queue, which hosts share unseen: the longer the
-   * latency to expect, the more a unit must earn, up to the shortest aim; never one that cannot come before
-   * its client leaves. */
+  /** Whether a request is worth its place in the node's queue, which hosts share unseen: the longer the wait,
+   * the more a unit must earn, up to the shortest aim; never one that its client cannot wait for. */
   private boolean worthwhile(Node n, Pending p) {
     double wait = n.expected();
     return wait <= usual + earns(n, p) * Math.max(0, shortestAim - usual) && now + wait < p.deadline;
   }
 
-  /** Whether every rule lets this request be sent to the node now. */
+  /** Whether order, repeats and a cold node let this request be sent now. */
   private boolean ready(Node n, Pending p) {
     boolean turn = p.line == null || p.line.queue.peek() == p && (p.attempts > 0 || now >= p.line.quietUntil);
-    return turn && now >= p.notBefore && p.repeatable(n, now) && (p.attempts == 0 || budget.allows(now)) && n
-        .bears(p) && (p.limit == null || p.paid || p.limit.allows(p.request.units(), now));
+    return turn && now >= p.notBefore && p.repeatable(n, now) && n.bears(p);
   }
 
   private void send(Node n, Pending p) {
     n.unhold(p);
-    Volume v = n.volume(p);
+    Volume v = p.at;
     v.fill(now);
     v.tokens -= p.request.units();
     if (p.attempts > 0) {
@@ -1033,12 +1027,12 @@
       p.limit.add(p.request.units());
       p.paid = false;
     }
-    if (o.ended() && !p.done) {
+    if (p.done) {
+      forget(p);
+    } else if (o.ended()) {
       finish(p);
-    } else if (!p.done) {
-      again(p, o);
     } else {
-      forget(p);
+      again(p, o);
     }
   }
 
@@ -1074,7 +1068,11 @@
   }
 
   private void finish(Pending p) {
+    if (p.done) {
+      return;
+    }
     p.done = true;
+    byDeadline.remove(p);
     unplaced.remove(p.seq);
     if (p.node != null) {
       p.node.unhold(p);
