Several cores: lanes with a module each, volumes that move between them

Cause: one engine thread did everything; depth 256 keeps it busy all the time (profiled) while node threads idle. Change: cores = N makes N engines, each with its module, door and node connections; a volume with all its rings is on one lane, so limit, order and records stay one module's. Lanes connect under one name with one book of serials, so that fences spare siblings. Fronts know the interface Intake. A device that found no room asks once more before it sleeps: room that came just before that woke nobody, and its ring stood still for ever. Measured: LanesTest over sockets: 5,120 writes, 256 out, through 20 moves, each one answer and one effect; a limit held in every span through moves; a lane blocked while the other serves 1,024 writes.

--- a/src/main/java/hollyslip/cli/ServeCommand.java
+++ b/src/main/java/hollyslip/cli/ServeCommand.java
@@ -50,7 +50,7 @@
     System.out.flush();
     over.await();
     boolean clean = gateway.close();
-    LOG.atInfo().addKeyValue("totals", gateway.engine().totals()).log("gateway.stopped");
+    LOG.atInfo().addKeyValue("totals", gateway.lanes().totals()).log("gateway.stopped");
     return clean && !gateway.superseded().isDone() ? Main.DONE : Main.FAILED;
   }
 
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -35,7 +35,7 @@
  * range ({@link RangeLocks}); {@link #submit} tells the module; {@link #carryOut} sends where the module
  * says; {@link #ended} takes what came of an attempt back to the module; {@link #answerPiece} collects the
  * answers of the pieces and gives the client its one. */
-public final class Engine {
+public final class Engine implements Intake {
   private static final Logger LOG = LoggerFactory.getLogger(Engine.class);
 
   /** Letters read before timers and sends get their turn, so that none starves. */
@@ -65,7 +65,12 @@
 
   /** Totals since the start; {@code moduleNs} is the time spent inside the module. */
   public record Totals(long taken, long served, long refused, long failed, long departed, long attempts,
-      long held, long moduleNs) {}
+      long held, long moduleNs) {
+    Totals plus(Totals o) {
+      return new Totals(taken + o.taken, served + o.served, refused + o.refused, failed + o.failed, departed
+          + o.departed, attempts + o.attempts, held + o.held, moduleNs + o.moduleNs);
+    }
+  }
 
   private final Config config;
   private final HostScheduler module;
@@ -108,8 +113,12 @@
     private Door.Owner owner;
     private CompletableFuture<Void> drained = new CompletableFuture<>();
     private boolean draining;
-    /** Requests of it that are taken and not released. */
-    private int held;
+    /** Requests of it that are taken and not released, and pieces that hold or wait for blocks. */
+    private int held, locked;
+    /** When an attempt last ended that may still run. */
+    private long doubtAt = Long.MIN_VALUE / 2;
+    /** Complete when another engine may take the volume on; null: it stays. */
+    private CompletableFuture<Void> handed;
 
     Served(Door.Owner owner) {
       this.owner = owner;
@@ -129,16 +138,19 @@
     this.config = config;
     this.module = module;
     config.settings().plans().forEach(p -> plans.put(p.name(), p));
-    volumes.values().forEach(v -> {
-      this.volumes.put(v.name(), v);
-      shares.put(v.id(), new Served(owner(v)));
-    });
+    volumes.values().forEach(this::begin);
     insideUs = config.settings().classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
     door = new Door<>((int) Math.min(Integer.MAX_VALUE, config.mostRequests() / 2), ROOM_A_NODE);
     bounds = new Bounds(config.mostRequests(), config.mostBytes());
     config.settings().classes().forEach(c -> classes.put(c.name(), c));
   }
 
+  /** Serves a volume on its plan of the settings; before {@link #start}. */
+  void begin(Volume v) {
+    volumes.put(v.name(), v);
+    shares.put(v.id(), new Served(owner(v)));
+  }
+
   /** Starts the engine's thread; {@code nodes} is where attempts go. */
   public void start(NodePort nodes) {
     port = nodes;
@@ -152,11 +164,7 @@
     return System.nanoTime() / 1_000;
   }
 
-  /** Hands a request in, from any thread. False: no room, or the engine is stopping; the front keeps the
-   * request and offers it again when {@link #onRoom} calls.
-   *
-   * @throws IllegalArgumentException
-   *           the volume is not known or does not hold the range */
+  @Override
   public boolean offer(Io io) {
     Volume volume = volumes.get(io.volume());
     if (volume == null) {
@@ -183,17 +191,17 @@
     return classes.get(config.classifier().className(io.kind(), io.length()));
   }
 
-  /** Has this called, on the engine's thread, whenever there is room again after a front was turned away. */
+  @Override
   public void onRoom(Runnable listener) {
     turnedAway.add(listener);
   }
 
-  /** Ends the listening of {@link #onRoom}. */
+  @Override
   public void forgetRoom(Runnable listener) {
     turnedAway.remove(listener);
   }
 
-  /** The client of a request left: it gets no answer, its data is released soon. From any thread. */
+  @Override
   public void depart(Io io) {
     mailbox.put(() -> leave(io.operation));
   }
@@ -282,6 +290,37 @@
     return done;
   }
 
+  /** Gives a volume up, of which nothing is offered any more: complete when all that was taken has its
+   * answer, no change of it can have an effect any more, and requests in order are as settled as the rules
+   * ask. */
+  CompletableFuture<Void> handOver(Volume volume) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    mailbox.put(() -> {
+      Served s = shares.get(volume.id());
+      if (s == null) {
+        done.complete(null);
+      } else {
+        s.handed = done;
+        hand(volume, s);
+      }
+    });
+    return done;
+  }
+
+  private void hand(Volume volume, Served s) {
+    if (s.handed == null || s.held > 0 || s.locked > 0) {
+      return;
+    }
+    long settled = s.doubtAt + config.settings().rules().orderSettleUs();
+    if (now < settled) {
+      timers.set(settled, () -> hand(volume, s));
+    } else if (shares.remove(volume.id(), s)) {
+      volumes.remove(volume.name());
+      tell(new HostScheduler.VolumeRemoved(volume.id()));
+      s.handed.complete(null);
+    }
+  }
+
   /** Forgets a draining volume once nothing of it is held. */
   private void gone(Volume volume, Served s) {
     if (s.draining && s.held == 0 && shares.remove(volume.id(), s)) {
@@ -291,7 +330,7 @@
     }
   }
 
-  /** The volumes served now, by name. */
+  @Override
   public Map<String, Volume> volumes() {
     return volumes;
   }
@@ -430,6 +469,10 @@
   private void begin(Operation op) {
     op.pieces = cut(op);
     for (Piece piece : op.pieces) {
+      if (piece.kind.changes()) {
+        piece.locked = true;
+        op.served.locked++;
+      }
       if (!piece.kind.changes() || locks.lock(piece)) {
         submit(piece);
       } else {
@@ -568,6 +611,9 @@
     Piece piece = attempt.piece;
     piece.operation.out--;
     attempt.mayRun = !result.provesNotRun() && result != Result.OK && result != Result.ERROR;
+    if (attempt.mayRun) {
+      piece.operation.served.doubtAt = now;
+    }
     boolean before = piece.answered;
     if (result == Result.OK && !before) {
       answerPiece(piece, Answer.SERVED);
@@ -597,6 +643,11 @@
   private void unlock(Piece piece) {
     if (piece.answered && piece.unresolved == 0) {
       locks.unlock(piece).forEach(this::submit);
+      if (piece.locked) {
+        piece.locked = false;
+        piece.operation.served.locked--;
+        hand(piece.operation.volume, piece.operation.served);
+      }
     }
   }
 
@@ -690,6 +741,7 @@
       if (op.served != null) {
         op.served.held--;
         gone(op.volume, op.served);
+        hand(op.volume, op.served);
         leaveRoom(op);
       }
     }
--- a/src/main/java/hollyslip/engine/Operation.java
+++ b/src/main/java/hollyslip/engine/Operation.java
@@ -39,6 +39,10 @@
     verdict = new Verdict(rules == null || rules.effect() == HostScheduler.Effect.SAFE);
   }
 
+  Engine engine() {
+    return engine;
+  }
+
   @Override
   public void run() {
     engine.take(this);
--- a/src/main/java/hollyslip/engine/Piece.java
+++ b/src/main/java/hollyslip/engine/Piece.java
@@ -19,6 +19,8 @@
   /** Ends its wait for its blocks. */
   Timers.Entry patience;
   boolean known;
+  /** Whether it counts among those that hold or wait for blocks. */
+  boolean locked;
   boolean answered;
   /** Attempts that may still have an effect at a node. */
   int unresolved;
--- a/src/main/java/hollyslip/front/sftp/Session.java
+++ b/src/main/java/hollyslip/front/sftp/Session.java
@@ -3,7 +3,7 @@
 import static hollyslip.front.sftp.Packets.*;
 
 import hollyslip.engine.Answer;
-import hollyslip.engine.Engine;
+import hollyslip.engine.Intake;
 import hollyslip.engine.Io;
 import hollyslip.volume.IoKind;
 import hollyslip.volume.Volume;
@@ -32,7 +32,7 @@
   /** Open handles and requests in flight of one session at most. */
   private static final int MOST_HANDLES = 256, MOST_FLIGHT = 64;
 
-  private final Engine engine;
+  private final Intake engine;
   private final Map<String, Handle> handles = new HashMap<>();
   private final Set<Work> flight = new HashSet<>();
   private final ArrayDeque<Work> blocked = new ArrayDeque<>();
@@ -54,7 +54,7 @@
     }
   }
 
-  Session(Engine engine) {
+  Session(Intake engine) {
     this.engine = engine;
   }
 
--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -1,7 +1,7 @@
 package hollyslip.front.vhost;
 
 import hollyslip.engine.ClientMemory;
-import hollyslip.engine.Engine;
+import hollyslip.engine.Intake;
 import hollyslip.engine.Spin;
 import hollyslip.front.sys.Linux;
 import hollyslip.volume.Volume;
@@ -22,7 +22,7 @@
 final class Device implements Runnable {
   private static final Logger LOG = LoggerFactory.getLogger(Device.class);
 
-  private final Engine engine;
+  private final Intake engine;
   private final long user;
   private final int socket;
   private final int wake;
@@ -41,7 +41,7 @@
   private boolean wakeClosed;
   private int quiet;
 
-  Device(Engine engine, Volume volume, int socket, long user, Runnable ended) throws IOException {
+  Device(Intake engine, Volume volume, int socket, long user, Runnable ended) throws IOException {
     this.engine = engine;
     this.user = user;
     this.volume = volume;
@@ -151,7 +151,7 @@
       return;
     }
     sleeping = true;
-    boolean more = requests.anyMoreOrKick() | requests.answersWait() | over | grown;
+    boolean more = requests.roomNow() | requests.anyMoreOrKick() | requests.answersWait() | over | grown;
     looksAt(more ? 0 : -1);
     sleeping = false;
   }
--- a/src/main/java/hollyslip/front/vhost/Requests.java
+++ b/src/main/java/hollyslip/front/vhost/Requests.java
@@ -1,7 +1,7 @@
 package hollyslip.front.vhost;
 
 import hollyslip.engine.Answer;
-import hollyslip.engine.Engine;
+import hollyslip.engine.Intake;
 import hollyslip.engine.Io;
 import hollyslip.volume.IoKind;
 import hollyslip.volume.Volume;
@@ -18,7 +18,7 @@
   /** Requests taken off one queue before the others get their turn. */
   private static final int TURN = 64;
 
-  private final Engine engine;
+  private final Intake engine;
   private final Messages messages;
   private final Supplier<Volume> volume;
   private final Runnable wake;
@@ -27,7 +27,7 @@
 
   /** @param wake
    *          called from the engine's thread when there is an answer */
-  Requests(Engine engine, Messages messages, Supplier<Volume> volume, Runnable wake) {
+  Requests(Intake engine, Messages messages, Supplier<Volume> volume, Runnable wake) {
     this.engine = engine;
     this.messages = messages;
     this.volume = volume;
@@ -86,6 +86,19 @@
     return false;
   }
 
+  /** Offers the requests that found no room once more; whether one did now. To be called once the device is
+   * known as asleep: room that came just before would wake nobody. */
+  boolean roomNow() {
+    boolean any = false;
+    for (Ring r : messages.rings()) {
+      if (r.blocked != null && offer(r.blocked)) {
+        r.blocked = null;
+        any = true;
+      }
+    }
+    return any;
+  }
+
   /** As {@link #anyMore}, and asks to be kicked for what comes after. */
   boolean anyMoreOrKick() {
     boolean more = false;
--- a/src/main/java/hollyslip/gateway/Gateway.java
+++ b/src/main/java/hollyslip/gateway/Gateway.java
@@ -1,18 +1,22 @@
 package hollyslip.gateway;
 
 import hollyslip.Choice;
+import hollyslip.HostScheduler;
 import hollyslip.HostScheduler.Listed;
 import hollyslip.HostScheduler.NodeState;
+import hollyslip.HostScheduler.VolumeChanged;
 import hollyslip.admin.AdminServer;
 import hollyslip.admin.Carrier;
 import hollyslip.admin.Control;
 import hollyslip.engine.Engine;
+import hollyslip.engine.Lanes;
 import hollyslip.fleet.Membership;
 import hollyslip.front.sftp.SftpServer;
 import hollyslip.front.vhost.Acceptor;
 import hollyslip.front.vhost.VhostServer;
 import hollyslip.node.NodePool;
 import hollyslip.node.NodeSurvey;
+import hollyslip.node.Serials;
 import hollyslip.recovery.Epoch;
 import hollyslip.recovery.Succession;
 import hollyslip.recovery.Succession.Holder;
@@ -46,10 +50,13 @@
   /** Longest command that nodes take: the NBD protocol's limit without a block size constraint is 32 MiB. */
   private static final long MOST_COMMAND = 32 << 20;
 
+  /** Between the seeds of two lanes, so that those of neighbouring gateways do not meet. */
+  private static final long LANE_SEEDS = 1L << 32;
+
   private final Deployment deployment;
-  private final Engine engine;
+  private final Lanes lanes;
   private final Membership membership;
-  private final NodePool pool;
+  private final List<NodePool> pools = new ArrayList<>();
   private final List<VhostServer> fronts = new ArrayList<>();
   private final SftpServer sftp;
   private final Acceptor acceptor;
@@ -83,25 +90,28 @@
     Deployment.Process p = deployment.gateway();
     epoch = new Epoch(p.stateDir());
     holder = begin(takeOver);
-    var classifier = new Classifier(deployment.rows(), p.unitBytes(), deployment.store().mostUnits());
-    engine = new Engine(new Engine.Config(deployment.module(), classifier, new Splitter(MOST_COMMAND), p
-        .mostRequests(), p.mostBytes()), deployment.byName(), new Choice(deployment.module()));
-    membership = new Membership(deployment.rules().coldUs(), engine::nodes);
-    pool = new NodePool(engine, new NodePool.Limits(p.name(), holder, p.connections(), p.perConnection(),
-        deployment.allowed().connectTimeoutUs(), deployment.rules().orderSettleUs()), deployment.module()
-            .reportFields(), new News(), p.ioThreads());
-    pool.addresses(addresses(deployment));
-    engine.start(pool);
+    lanes = new Lanes(engines(), deployment.byName(), this::terms);
+    membership = new Membership(deployment.rules().coldUs(), lanes::nodes);
+    Serials serials = new Serials();
+    for (int i = 0; i < p.cores(); i++) {
+      NodePool pool = new NodePool(lanes.lane(i), new NodePool.Limits(p.name(), holder, p.connections(), p
+          .perConnection(), deployment.allowed().connectTimeoutUs(), deployment.rules().orderSettleUs()),
+          serials, deployment.module().reportFields(), new News(), p.ioThreads());
+      pool.addresses(addresses(deployment));
+      lanes.lane(i).start(pool);
+      pools.add(pool);
+    }
+    lanes.start();
     membership.replace(listed(deployment));
     Files.createDirectories(p.socketDir());
     acceptor = new Acceptor();
     for (Volume v : deployment.volumes()) {
-      fronts.add(new VhostServer(engine, acceptor, v.name(), socket(v.name()), VhostServer.ANYBODY));
+      fronts.add(new VhostServer(lanes, acceptor, v.name(), socket(v.name()), VhostServer.ANYBODY));
     }
-    sftp = p.sftp() ? new SftpServer(engine, p.socketDir().resolve("sftp.sock")) : null;
+    sftp = p.sftp() ? new SftpServer(lanes, p.socketDir().resolve("sftp.sock")) : null;
     hosted = p.hosting() == null
         ? null
-        : new HostedVolumes(engine, acceptor, p.socketDir(), p.hosts(), this::nodeState, this::nodeViews);
+        : new HostedVolumes(lanes, acceptor, p.socketDir(), p.hosts(), this::nodeState, this::nodeViews);
     control = hosted == null
         ? null
         : new Control(new Folder(p.stateDir().resolve("store")), shards(deployment), FIRST_ID, p.hosts(),
@@ -118,6 +128,34 @@
         .log("gateway.started");
   }
 
+  /** The lanes' engines: each a module with its own random source, and its part of what may be held. */
+  private List<Engine> engines() {
+    Deployment.Process p = deployment.gateway();
+    Classifier classifier = new Classifier(deployment.rows(), p.unitBytes(), deployment.store().mostUnits());
+    List<Engine> engines = new ArrayList<>();
+    for (int i = 0; i < p.cores(); i++) {
+      HostScheduler.Settings m = deployment.module();
+      HostScheduler.Settings own = new HostScheduler.Settings(m.seed() + i * LANE_SEEDS, m.index(), m.hosts(),
+          m
+              .zone(), m.tickUs(), m.listOnRequest(), m.classes(), m.plans(), m.rules(), m.allowed(), m
+                  .store(), m
+                      .reportSource(), m.reportFields());
+      engines.add(new Engine(new Engine.Config(own, classifier, new Splitter(MOST_COMMAND), Math.max(1, p
+          .mostRequests() / p.cores()), Math.max(1, p.mostBytes() / p.cores())), Map.of(), new Choice(own)));
+    }
+    return engines;
+  }
+
+  /** Terms of a volume of the settings, for a lane that takes it over: its plan, and no group. */
+  private VolumeChanged terms(Volume v) {
+    HostScheduler.Plan plan = deployment.plans()
+        .stream()
+        .filter(each -> each.name().equals(v.plan()))
+        .findFirst()
+        .orElseThrow();
+    return new VolumeChanged(v.id(), v.hosts(), plan, 0, plan.weight());
+  }
+
   /** Takes an epoch above all that our record and the nodes know. */
   private Holder begin(boolean takeOver) throws IOException {
     String name = deployment.gateway().name();
@@ -169,7 +207,7 @@
         .addKeyValue("verdict", step.verdict())
         .log("gateway.superseded");
     if (step.verdict() == Succession.Verdict.YIELD) {
-      engine.refuseAll();
+      lanes.refuseAll();
       superseded.complete(null);
       return;
     }
@@ -177,7 +215,10 @@
     holder = next;
     CompletableFuture.runAsync(() -> record(next.epoch())).whenComplete((done, e) -> {
       if (e == null) {
-        engine.execute(() -> pool.holder(next));
+        for (int i = 0; i < pools.size(); i++) {
+          NodePool pool = pools.get(i);
+          lanes.lane(i).execute(() -> pool.holder(next));
+        }
       } else {
         LOG.atError().setCause(e).log("gateway.epoch");
         superseded.complete(null);
@@ -306,7 +347,10 @@
   /** Takes on another node list; the rest of the settings stays as it was. */
   public void nodes(Deployment next) {
     List<NodePool.Address> addresses = addresses(next);
-    engine.execute(() -> pool.addresses(addresses));
+    for (int i = 0; i < pools.size(); i++) {
+      NodePool pool = pools.get(i);
+      lanes.lane(i).execute(() -> pool.addresses(addresses));
+    }
     List<Listed> before = membership.list();
     nodes = next.nodes();
     membership.replace(listed(next));
@@ -344,8 +388,9 @@
     return fronts.stream().filter(f -> f.path().equals(socket(volume))).mapToInt(VhostServer::devices).sum();
   }
 
-  public Engine engine() {
-    return engine;
+  /** Where its requests go. */
+  public Lanes lanes() {
+    return lanes;
   }
 
   public Membership membership() {
@@ -361,7 +406,7 @@
   }
 
   private CompletableFuture<Void> end() {
-    return engine.stop().whenComplete((done, error) -> {
+    return lanes.stop().whenComplete((done, error) -> {
       if (admin != null) {
         admin.close();
         control.close();
@@ -382,7 +427,7 @@
 
   /** Has this called when the engine ends, wanted or not. */
   public void onFault(Runnable listener) {
-    engine.ended().whenComplete((done, error) -> listener.run());
+    lanes.ended().whenComplete((done, error) -> listener.run());
     superseded.thenRun(listener);
   }
 
--- a/src/main/java/hollyslip/load/RingBench.java
+++ b/src/main/java/hollyslip/load/RingBench.java
@@ -19,6 +19,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 
 /** Reads as fast as they are answered, at a depth: through a ring, or with the node client alone. */
@@ -62,9 +63,9 @@
     }
   }
 
-  /** Through a ring: {@code engine} is the gateway's, in this process; null: not looked into. */
+  /** Through a ring: {@code totals} are the gateway's, in this process. */
   public static Row ring(String path, Path socket, int depth, int block, double seconds, long bytes,
-      Engine engine)
+      Supplier<Engine.Totals> totals)
       throws IOException {
     int size = Integer.highestOneBit(Math.max(4, 2 * depth - 1));
     try (RingClient c = new RingClient(RingClient.Options.usual(1, size, block))) {
@@ -75,7 +76,7 @@
       long until = warm + (long) (seconds * 1e9);
       long counted = 0;
       long failed = 0;
-      Engine.Totals before = engine.totals();
+      Engine.Totals before = totals.get();
       Map<Long, Long> allocated = allocated();
       boolean measuring = false;
       int[] bad = {0};
@@ -84,7 +85,7 @@
           measuring = true;
           h.reset();
           bad[0] = 0;
-          before = engine.totals();
+          before = totals.get();
           allocated = allocated();
           counted = now;
         }
@@ -102,7 +103,7 @@
       }
       double took = (System.nanoTime() - counted) / 1e9;
       failed = bad[0];
-      Engine.Totals after = engine.totals();
+      Engine.Totals after = totals.get();
       double n = Math.max(1, h.getTotalCount());
       long garbage = grown(allocated);
       if (failed > 0) {
--- a/src/main/java/hollyslip/load/RingComparison.java
+++ b/src/main/java/hollyslip/load/RingComparison.java
@@ -74,10 +74,11 @@
         for (int depth : depths) {
           for (String path : paths) {
             add(rows, switch (path) {
-              case "echo" -> RingBench.ring(path, echoFront.path(), depth, block, seconds, BYTES, echo);
+              case "echo" -> RingBench.ring(path, echoFront.path(), depth, block, seconds, BYTES,
+                  echo::totals);
               case "direct" -> RingBench.direct(started.get(0).address, depth, block, seconds, BYTES);
               default -> RingBench.ring(path, gateway.socket("v"), depth, block, seconds, BYTES, gateway
-                  .engine());
+                  .lanes()::totals);
             });
           }
         }
--- a/src/main/java/hollyslip/load/TenantBench.java
+++ b/src/main/java/hollyslip/load/TenantBench.java
@@ -230,7 +230,7 @@
           "requests/s", "p50 us", "p99 us", "changes/s", "change p99");
       for (int round = 0; round < rounds; round++) {
         print("alone", RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway
-            .engine()), 4,
+            .lanes()::totals), 4,
             null, 0);
         changing(gateway, api);
         flooded(gateway);
@@ -266,7 +266,7 @@
       }
     });
     t.start();
-    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway.engine());
+    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway.lanes()::totals);
     over[0] = true;
     t.join();
     print("while tenant a is changed", r, 4, took, (System.nanoTime() - from) / 1e9);
@@ -278,13 +278,13 @@
     Thread t = new Thread(() -> {
       try {
         flood[0] = RingBench.ring("a", gateway.socket("a", "v"), 256, BLOCK, seconds * 1.5, BYTES, gateway
-            .engine());
+            .lanes()::totals);
       } catch (Exception e) {
         throw new IllegalStateException(e);
       }
     });
     t.start();
-    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway.engine());
+    Row r = RingBench.ring("b", gateway.socket("b", "v"), 4, BLOCK, seconds, BYTES, gateway.lanes()::totals);
     t.join();
     print("while tenant a keeps 256 out", r, 4, null, 0);
   }
--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -59,6 +59,7 @@
 
   private final Engine engine;
   private final Limits limits;
+  private final Serials serials;
   private final News news;
   private final List<String> reportFields;
   private final AsynchronousChannelGroup group;
@@ -74,12 +75,14 @@
     final List<NbdConnection> connections = new ArrayList<>();
     /** Changes of dead connections that may still run there, by serial of the connection. */
     final Map<Long, List<Attempt>> doubts = new LinkedHashMap<>();
-    long serials;
     boolean listed = true;
   }
 
-  public NodePool(Engine engine, Limits limits, List<String> reportFields, News news, int threads)
-      throws IOException {
+  /** @param serials
+   *          shared by all pools of a process */
+  public NodePool(Engine engine, Limits limits, Serials serials, List<String> reportFields, News news,
+      int threads) throws IOException {
+    this.serials = serials;
     this.engine = engine;
     this.limits = limits;
     holder = limits.holder();
@@ -155,11 +158,9 @@
   }
 
   private NbdConnection open(Target t) {
-    Set<Long> live = new TreeSet<>();
-    t.connections.forEach(c -> live.add(c.fence.serial()));
+    Fence fence = serials.next(t.address.node(), limits.client(), holder);
     try {
-      NbdConnection c = new NbdConnection(group, t.address.node(), t.address.export(), new Fence(limits
-          .client(), holder, ++t.serials, live), this);
+      NbdConnection c = new NbdConnection(group, t.address.node(), t.address.export(), fence, this);
       t.connections.add(c);
       engine.after(limits.connectTimeoutUs(), () -> {
         if (!c.isReady()) {
@@ -169,6 +170,7 @@
       c.connect(t.address.at());
       return c;
     } catch (IOException e) {
+      serials.over(t.address.node(), fence.serial());
       LOG.atWarn()
           .addKeyValue("node", t.address.name())
           .addKeyValue("why", e.getMessage())
@@ -316,6 +318,7 @@
       List<Attempt> silent) {
     Target t = targets.get(c.node);
     t.connections.remove(c);
+    serials.over(c.node, c.fence.serial());
     if (!closing) {
       LOG.atInfo()
           .addKeyValue("node", t.address.name())
--- /dev/null
+++ b/src/main/java/hollyslip/node/Serials.java
@@ -0,0 +1,26 @@
+package hollyslip.node;
+
+import hollyslip.recovery.Succession.Holder;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** Serials of the connections of one process, by node: its lanes connect under one name, and the fence of one
+ * must let the others' connections live. Safe for any thread. */
+public final class Serials {
+  private final Map<Long, Long> last = new HashMap<>();
+  private final Map<Long, TreeSet<Long>> live = new HashMap<>();
+
+  /** What a new connection says of itself; it counts as live from now on. */
+  synchronized Fence next(long node, String client, Holder holder) {
+    TreeSet<Long> others = live.computeIfAbsent(node, k -> new TreeSet<>());
+    Fence f = new Fence(client, holder, last.merge(node, 1L, Long::sum), others);
+    others.add(f.serial());
+    return f;
+  }
+
+  /** A connection is over: fences from now on kill what it brought. */
+  synchronized void over(long node, long serial) {
+    live.get(node).remove(serial);
+  }
+}
--- a/src/main/java/hollyslip/settings/Deployment.java
+++ b/src/main/java/hollyslip/settings/Deployment.java
@@ -72,16 +72,18 @@
    * @param sftp
    *          whether file commands are served, on {@code sftp.sock} in the socket folder
    * @param hosting
-   *          null: no tenants are hosted */
+   *          null: no tenants are hosted
+   * @param cores
+   *          lanes: engines with a module each, a core each */
   public record Process(String name, int index, int hosts, String zone, Path socketDir, Path stateDir,
       long seed, long tickUs, long unitBytes, long mostRequests, long mostBytes, int connections,
-      int perConnection, int ioThreads, boolean sftp, Hosting hosting) {
+      int perConnection, int ioThreads, boolean sftp, Hosting hosting, int cores) {
     /** One that hosts nobody. */
     public Process(String name, int index, int hosts, String zone, Path socketDir, Path stateDir, long seed,
         long tickUs, long unitBytes, long mostRequests, long mostBytes, int connections, int perConnection,
         int ioThreads, boolean sftp) {
       this(name, index, hosts, zone, socketDir, stateDir, seed, tickUs, unitBytes, mostRequests, mostBytes,
-          connections, perConnection, ioThreads, sftp, null);
+          connections, perConnection, ioThreads, sftp, null, 1);
     }
   }
 
--- a/src/main/java/hollyslip/settings/Loader.java
+++ b/src/main/java/hollyslip/settings/Loader.java
@@ -290,7 +290,8 @@
         .asText(), dir.resolve(g.get("socket_dir").asText()), dir.resolve(g.get("state_dir").asText()), g.get(
             "seed").asLong(), g.get("tick").asLong(), g.get("unit_bytes").asLong(), g.get("most_requests")
                 .asLong(), g.get("most_bytes").asLong(), g.get("connections").asInt(), g.get("per_connection")
-                    .asInt(), g.get("io_threads").asInt(), g.get("sftp").asBoolean(), hosting(g, dir));
+                    .asInt(), g.get("io_threads").asInt(), g.get("sftp").asBoolean(), hosting(g, dir), g.get(
+                        "cores").asInt());
   }
 
   private static Deployment.Hosting hosting(JsonNode g, Path dir) {
--- a/src/test/java/hollyslip/e2e/HardCasesTest.java
+++ b/src/test/java/hollyslip/e2e/HardCasesTest.java
@@ -226,7 +226,7 @@
       run.join();
       assertEquals(600, run.asked().stream().filter(a -> a.client().equals("c") && a.answers() == 1).count());
       assertEquals(List.of(), run.audit().breaches());
-      assertTrue(g.engine().totals().departed() > 0);
+      assertTrue(g.lanes().totals().departed() > 0);
     }
   }
 
--- a/src/test/java/hollyslip/e2e/HostedTest.java
+++ b/src/test/java/hollyslip/e2e/HostedTest.java
@@ -104,7 +104,7 @@
           JsonNode before = ask(api, "GET", "/v1/tenants/lee/volumes/v", null).body().get("shards");
           assertEquals(3, before.size(), "spread over the shards");
           ask(api, "PATCH", "/v1/tenants/lee/volumes/v", "{'bytes':2097152}");
-          until(() -> g.engine().volumes().get("lee/v").bytes() == 2097152);
+          until(() -> g.lanes().volumes().get("lee/v").bytes() == 2097152);
           until(() -> Rings.one(c, IoKind.READ, 1048576, 4096, read) == 0);
           com.sun.jna.Memory said = new com.sun.jna.Memory(64);
           until(() -> Linux.receive(backend[0], said, 0, 64).bytes() == Wire.HEADER);
@@ -128,7 +128,7 @@
         }
         ask(api, "DELETE", "/v1/tenants/lee/volumes/v", null);
         until(() -> !Files.exists(socket));
-        assertFalse(g.engine().volumes().containsKey("lee/v"));
+        assertFalse(g.lanes().volumes().containsKey("lee/v"));
       }
     }
   }
@@ -176,7 +176,7 @@
         for (Busy c : flood) {
           c.join(30_000);
         }
-        List<Volume.Extent> extents = g.engine().volumes().get("b/v").extents();
+        List<Volume.Extent> extents = g.lanes().volumes().get("b/v").extents();
         long[] units = new long[2];
         site.disks.stream()
             .flatMap(d -> d.commands().stream())
@@ -288,7 +288,7 @@
           figures[i] = others.get(i).answers.get(0);
         }
         for (int i = 0; i < 2; i++) {
-          List<Volume.Extent> extents = g.engine().volumes().get(List.of("b/v", "c/v").get(i)).extents();
+          List<Volume.Extent> extents = g.lanes().volumes().get(List.of("b/v", "c/v").get(i)).extents();
           figures[2 + i] = log.stream()
               .filter(c -> c.doneUs() > 0 && extents.contains(new Volume.Extent(Integer.parseInt(c.export()
                   .substring(6)), c.offset() / 65536 * 65536)))
--- a/src/test/java/hollyslip/e2e/HostileClientTest.java
+++ b/src/test/java/hollyslip/e2e/HostileClientTest.java
@@ -211,7 +211,7 @@
   @Test
   void answersForMemoryThatIsGoneHarmNobodyElse() throws IOException {
     for (int round = 0; round < 10; round++) {
-      long before = gateway.engine().totals().attempts();
+      long before = gateway.lanes().totals().attempts();
       try (RingClient c = direct()) {
         c.connect(gateway.socket("stock"));
         site.disks.get(0).stall(50_000);
@@ -219,7 +219,7 @@
           assertTrue(c.submit(0, IoKind.READ, i * 4096L, 4096, null, (s, r, d) -> {}));
         }
         c.kick();
-        until(() -> gateway.engine().totals().attempts() == before + 4);
+        until(() -> gateway.lanes().totals().attempts() == before + 4);
         Linux.truncate(c.memoryFd(), 0);
         byte[] bytes = new byte[4096];
         for (int i = 0; i < 4; i++) {
@@ -237,7 +237,7 @@
     java.util.Arrays.fill(secret, (byte) 99);
     for (int round = 0; round < 5; round++) {
       assertEquals(0, Rings.one(honest, IoKind.WRITE, 0, 4096, secret));
-      long before = gateway.engine().totals().attempts();
+      long before = gateway.lanes().totals().attempts();
       try (RingClient c = direct()) {
         c.connect(gateway.socket("stock"));
         site.disks.get(0).stall(50_000);
@@ -247,7 +247,7 @@
         }
         // The rest come when the first are sent, and are sent when those are answered.
         c.kick();
-        until(() -> gateway.engine().totals().attempts() > before);
+        until(() -> gateway.lanes().totals().attempts() > before);
         Linux.truncate(c.memoryFd(), 0);
         byte[] bytes = new byte[4096];
         for (int i = 0; i < 8; i++) {
--- /dev/null
+++ b/src/test/java/hollyslip/e2e/LanesTest.java
@@ -0,0 +1,185 @@
+package hollyslip.e2e;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hollyslip.gateway.Gateway;
+import hollyslip.load.RingClient;
+import hollyslip.node.Nbd;
+import hollyslip.standin.Command;
+import hollyslip.volume.IoKind;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Several cores: volumes on lanes, moved between them, and a lane that stalls. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class LanesTest {
+  private static final int BLOCK = 4096, BLOCKS = 256;
+
+  @TempDir
+  Path dir;
+
+  private static RingClient ring(Gateway g, String volume) throws IOException {
+    RingClient c = new RingClient(RingClient.Options.usual(1, 256, BLOCK));
+    c.connect(g.socket(volume));
+    return c;
+  }
+
+  private Site site() throws IOException {
+    Site site = new Site(dir, 2);
+    site.cores = 2;
+    return site;
+  }
+
+  /** Writes every block once a round with the round's number, 256 out, while {@code meanwhile} runs round by
+   * round; answers by status. */
+  private static int[] write(RingClient c, int rounds, Runnable meanwhile) {
+    int[] answers = new int[256];
+    for (int round = 1; round <= rounds; round++) {
+      byte[] bytes = new byte[BLOCK];
+      Arrays.fill(bytes, (byte) round);
+      for (int b = 0; b < BLOCKS; b++) {
+        assertTrue(c.submit(0, IoKind.WRITE, (long) b * BLOCK, BLOCK, ByteBuffer.wrap(bytes), (s, r,
+            d) -> answers[s]++));
+      }
+      c.kick();
+      meanwhile.run();
+      while (c.out() > 0) {
+        assertTrue(c.await(1_000));
+        c.poll();
+      }
+    }
+    return answers;
+  }
+
+  private static long writes(Site site) {
+    return site.disks.stream()
+        .flatMap(d -> d.commands().stream())
+        .filter(c -> c.kind() == Nbd.CMD_WRITE && c.result() == Command.Result.DONE)
+        .count();
+  }
+
+  @Test
+  void aVolumeMovesWith256RequestsInFlightAndNothingIsLostOrDoneTwice() throws Exception {
+    try (Site site = site()) {
+      Gateway g = site.gateway("gw", 0);
+      int home = g.lanes().laneOf("stock");
+      assertNotEquals(home, g.lanes().laneOf("orders"));
+      try (RingClient c = ring(g, "stock")) {
+        int rounds = 20;
+        int[] answers = write(c, rounds, () -> g.lanes().move("stock", 1 - g.lanes().laneOf("stock")));
+        assertEquals(rounds * BLOCKS, answers[0], "served: " + Arrays.toString(answers));
+        assertEquals(rounds * BLOCKS, writes(site), "each has its effect once");
+        byte[] want = new byte[BLOCK];
+        Arrays.fill(want, (byte) rounds);
+        byte[] got = new byte[BLOCK];
+        for (int b = 0; b < BLOCKS; b++) {
+          assertEquals(0, Rings.one(c, IoKind.READ, (long) b * BLOCK, BLOCK, got));
+          assertArrayEquals(want, got, "block " + b);
+        }
+      }
+    }
+  }
+
+  /** A limit is one bucket, on the lane where the volume is; a move brings no tokens with it. */
+  @Test
+  void aLimitHoldsWhileItsVolumeMovesToAndFro() throws Exception {
+    try (Site site = site()) {
+      Gateway g = site.gateway("gw", 0);
+      try (RingClient c = ring(g, "capped")) {
+        int done = 0;
+        int[] answered = {0};
+        for (int i = 0; done < 4_000; i++) {
+          while (c.out() < 64) {
+            c.submit(0, IoKind.READ, (i & 255L) * BLOCK, BLOCK, null, (s, r, d) -> answered[0]++);
+            done++;
+          }
+          c.kick();
+          if (i % 16 == 0) {
+            g.lanes().move("capped", 1 - g.lanes().laneOf("capped"));
+          }
+          assertTrue(c.await(100));
+          c.poll();
+        }
+        while (c.out() > 0) {
+          assertTrue(c.await(1_000));
+          c.poll();
+        }
+        assertEquals(done, answered[0]);
+      }
+      long[] at = site.disks.stream()
+          .flatMap(d -> d.commands().stream())
+          .mapToLong(Command::receivedUs)
+          .sorted()
+          .toArray();
+      assertTrue(at.length > 1_000, "sent: " + at.length);
+      double level = 0;
+      for (int i = 0; i < at.length; i++) {
+        level = Math.max(0, level - (i == 0 ? 0 : (at[i] - at[i - 1]) * site.limited.limit() / 1e6)) + 1;
+        assertTrue(level <= site.limited.limitBurst() + site.limited.limitSlack(), "level " + level);
+      }
+    }
+  }
+
+  @Test
+  void aLaneThatStallsHoldsUpNoOther() throws Exception {
+    try (Site site = site()) {
+      Gateway g = site.gateway("gw", 0);
+      CountDownLatch free = new CountDownLatch(1);
+      CompletableFuture<Void> stalled = new CompletableFuture<>();
+      try (RingClient held = ring(g, "stock"); RingClient other = ring(g, "orders")) {
+        g.lanes().lane(g.lanes().laneOf("stock")).execute(() -> {
+          stalled.complete(null);
+          try {
+            free.await(30, TimeUnit.SECONDS);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+        stalled.get(10, TimeUnit.SECONDS);
+        int[] heldAnswers = new int[256];
+        for (int i = 0; i < 100; i++) {
+          assertTrue(held.submit(0, IoKind.READ, (long) i * BLOCK, BLOCK, null, (s, r,
+              d) -> heldAnswers[s]++));
+        }
+        held.kick();
+        assertEquals(4 * BLOCKS, write(other, 4, () -> {})[0], "the other lane serves on");
+        held.poll();
+        assertEquals(0, heldAnswers[0]);
+        free.countDown();
+        while (held.out() > 0) {
+          assertTrue(held.await(1_000));
+          held.poll();
+        }
+        assertEquals(100, Arrays.stream(heldAnswers).sum(), "each has its one answer");
+      }
+    }
+  }
+
+  /** The lanes of a killed process are fenced by the first connection of any lane of the next. */
+  @Test
+  void lanesShareOneNameAndOneFence() throws Exception {
+    try (Site site = site()) {
+      Gateway g = site.gateway("gw", 0);
+      try (RingClient a = ring(g, "stock"); RingClient b = ring(g, "orders")) {
+        assertEquals(BLOCKS, write(a, 1, () -> {})[0]);
+        assertEquals(BLOCKS, write(b, 1, () -> {})[0]);
+        assertEquals(BLOCKS, write(a, 1, () -> {})[0], "a connection of one lane leaves the other's alone");
+        assertTrue(site.disks.stream()
+            .flatMap(d -> d.commands().stream())
+            .noneMatch(c -> c.result() == Command.Result.FENCED));
+      }
+      assertTrue(g.close());
+    }
+  }
+}
--- a/src/test/java/hollyslip/e2e/Site.java
+++ b/src/test/java/hollyslip/e2e/Site.java
@@ -30,6 +30,7 @@
   long deadlineUs = 2_000_000;
   long coldUs = 5_000_000;
   int hosts = 1;
+  int cores = 1;
   boolean hosted;
   double capacity = 100_000;
   Plan limited = new Plan("limited", 2_000, 1_000, 1, 1, 4_000, 400, 40);
@@ -62,8 +63,9 @@
         dir
             .resolve(folder + "-state"), p.seed(), p.tickUs(), p.unitBytes(), p.mostRequests(), p.mostBytes(),
         p
-            .connections(), p.perConnection(), p.ioThreads(), p.sftp(), p.hosting()), d.classes(), d.rows(), d
-                .plans(), d.rules(), d.allowed(), d.store(), d.nodes(), d.volumes());
+            .connections(), p.perConnection(), p.ioThreads(), p.sftp(), p.hosting(), cores), d.classes(), d
+                .rows(), d
+                    .plans(), d.rules(), d.allowed(), d.store(), d.nodes(), d.volumes());
   }
 
   Deployment deployment(String name, int index, List<Integer> draining) {
@@ -85,9 +87,10 @@
     return new Deployment(new Deployment.Process(name, index, hosts, "a", dir.resolve(name), dir.resolve(name
         + "-state"), 7, 1_000, 4096, 10_000, 256 << 20, 2, 256, 2, true, hosted
             ? new Deployment.Hosting(0, null, null)
-            : null), classes, rows, List.of(new Plan("gold", 1e6, 1e5, 3, 1, 0, 0, 0), limited), new Rules(
-                8_000, 1_000_000, 0.2, coldUs, 3, 2_000_000, 300_000, 0.5, 20, 5_000_000, 0), new Allowed(4,
-                    false, false, false, true, 500_000, 250_000), new Store(1, 256, 200, 0.4, 0.1, 0, false),
+            : null, cores), classes, rows, List.of(new Plan("gold", 1e6, 1e5, 3, 1, 0, 0, 0), limited),
+        new Rules(
+            8_000, 1_000_000, 0.2, coldUs, 3, 2_000_000, 300_000, 0.5, 20, 5_000_000, 0), new Allowed(4,
+                false, false, false, true, 500_000, 250_000), new Store(1, 256, 200, 0.4, 0.1, 0, false),
         nodes, volumes);
   }
 
