Bench cores: the same load on 1, 2, 4 and 8 lanes; the module's time is sampled

Cause: nothing measured what lanes bring; reading the clock twice an event was 7% of the engine's thread (profiled); sorts of requests hashed a whole class record.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -88,7 +88,7 @@
   private final Settings settings;
   private final Map<String, RequestClass> classes = new HashMap<>();
   /** The longest time a client of a class had left at arrival: what is missing from it has passed before. */
-  private final Map<RequestClass, Long> mostRemaining = new HashMap<>();
+  private final Map<String, Long> mostRemaining = new HashMap<>();
   private final Map<String, Plan> plans = new HashMap<>();
   private final Map<Long, Node> nodes = new TreeMap<>();
   private final Map<Long, Pending> pendings = new LinkedHashMap<>();
@@ -204,7 +204,7 @@
   }
 
   /** Requests of one volume that earn the same and may go by the same limit and budget; in it, by aim. */
-  record Sort(RequestClass rules, double units, boolean again, boolean paid) {}
+  record Sort(String className, double units, boolean again, boolean paid) {}
 
   record Aim(long at, long seq) implements Comparable<Aim> {
     @Override
@@ -518,7 +518,7 @@
 
     void hold(Pending p) {
       p.at = volume(p);
-      p.sort = new Sort(p.rules, p.request.units(), p.attempts > 0, p.paid);
+      p.sort = new Sort(p.rules.name(), p.request.units(), p.attempts > 0, p.paid);
       p.at.held.computeIfAbsent(p.sort, k -> new TreeMap<>()).put(p.aim, p);
       holding.add(p.at);
       p.node = this;
@@ -819,7 +819,7 @@
     double depth = reserveDepth(plan, hosts);
     Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
         now));
-    long most = mostRemaining.merge(rules, r.remainingUs(), Math::max);
+    long most = mostRemaining.merge(r.className(), r.remainingUs(), Math::max);
     Pending p = new Pending(r, rules, most, plan, seq++, now, random.nextDouble(), limit, reserve);
     pendings.put(r.id(), p);
     byDeadline.add(p);
@@ -907,7 +907,7 @@
         now)) {
       return null;
     }
-    long edge = sort.rules.lateWorth() < 1 ? now + (long) (n.wait + beyondMean(any)) : Long.MIN_VALUE;
+    long edge = any.rules.lateWorth() < 1 ? now + (long) (n.wait + beyondMean(any)) : Long.MIN_VALUE;
     Aim from = new Aim(edge, Long.MIN_VALUE);
     Pending p = first(n, line.tailMap(from));
     return p != null ? p : first(n, line.headMap(from));
--- a/src/main/java/hollyslip/cli/BenchCommand.java
+++ b/src/main/java/hollyslip/cli/BenchCommand.java
@@ -1,17 +1,19 @@
 package hollyslip.cli;
 
+import hollyslip.load.CoresBench;
 import hollyslip.load.Profile;
 import hollyslip.load.RingComparison;
 import hollyslip.load.TenantBench;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** Measurements. */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measurements on this machine.", subcommands = {
-    BenchCommand.Ring.class, BenchCommand.Tenants.class})
+    BenchCommand.Ring.class, BenchCommand.Cores.class, BenchCommand.Tenants.class})
 final class BenchCommand implements Callable<Integer> {
   @Override
   public Integer call() {
@@ -26,12 +28,22 @@
     @Option(names = "--seconds", defaultValue = "2", description = "seconds of one measurement, after half of that to warm up")
     double seconds;
 
+    @Option(names = "--profile", paramLabel = "DIR", description = "where a flame graph goes: the whole run under the profiler, which makes it slower")
+    Path profile;
+    @Option(names = "--event", defaultValue = "itimer", description = "what the profiler samples: itimer or alloc")
+    String event;
+
     abstract void run() throws Exception;
 
     @Override
     public Integer call() throws Exception {
       Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.WARN);
-      run();
+      if (profile == null) {
+        run();
+      } else {
+        Profile.run(event, profile, event + "-" + getClass().getSimpleName().toLowerCase(Locale.ROOT),
+            this::run);
+      }
       return Main.DONE;
     }
   }
@@ -47,19 +59,24 @@
     List<String> paths;
     @Option(names = "--block", defaultValue = "4096", description = "bytes of a read, a multiple of 4096")
     int block;
-    @Option(names = "--profile", paramLabel = "DIR", description = "where flame graphs go: the whole run under the profiler, which makes it slower")
-    Path profile;
-    @Option(names = "--event", defaultValue = "itimer", description = "what the profiler samples: itimer or alloc")
-    String event;
+    @Override
+    void run() throws Exception {
+      new RingComparison(rounds, seconds, nodes, depths, block, paths).run();
+    }
+  }
+
+  @Command(name = "cores", mixinStandardHelpOptions = true, description = "Eight volumes with a client each on 1, 2, 4 and 8 lanes: reads of 4 KiB a second, the worst client's latencies, and the least volume's part of the mean.")
+  static final class Cores extends Measurement {
+    @Option(names = "--depth", defaultValue = "32", description = "requests that each client keeps out")
+    int depth;
+    @Option(names = "--nodes", defaultValue = "2", description = "stand-ins")
+    int nodes;
+    @Option(names = "--lanes", split = ",", defaultValue = "1,2,4,8", description = "lanes")
+    int[] lanes;
 
     @Override
     void run() throws Exception {
-      RingComparison comparison = new RingComparison(rounds, seconds, nodes, depths, block, paths);
-      if (profile == null) {
-        comparison.run();
-      } else {
-        Profile.run(event, profile, event + "-" + String.join("-", paths), comparison::run);
-      }
+      new CoresBench(rounds, seconds, depth, nodes, lanes).run();
     }
   }
 
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -45,6 +45,10 @@
    * from. */
   private static final int ROOM_A_NODE = 64;
 
+  /** The module's time is taken at one event in so many and one: reading the clock costs as much as a part of
+   * what is measured. */
+  private static final long SAMPLED = 15;
+
   /** Longest sleep, us: only a bound, timers and letters wake it. */
   private static final long NAP = 1_000_000;
 
@@ -63,7 +67,7 @@
   public record Config(HostScheduler.Settings settings, Classifier classifier, Splitter splitter,
       long mostRequests, long mostBytes) {}
 
-  /** Totals since the start; {@code moduleNs} is the time spent inside the module. */
+  /** Totals since the start; {@code moduleNs} is the time spent inside the module, from samples. */
   public record Totals(long taken, long served, long refused, long failed, long departed, long attempts,
       long held, long moduleNs) {
     Totals plus(Totals o) {
@@ -102,6 +106,8 @@
   private volatile boolean refusing;
   private volatile boolean awaitingRoom;
   private NodePort port;
+  /** Events told to the module. */
+  private long told;
   private long now;
   private long nextPiece;
   private boolean lettingIn;
@@ -536,9 +542,12 @@
       levels.add(new Decided());
     }
     Decided decided = levels.get(level++);
-    long from = System.nanoTime();
+    boolean sampled = (++told & SAMPLED) == 0;
+    long from = sampled ? System.nanoTime() : 0;
     module.handle(now, event, decided);
-    moduleNs += System.nanoTime() - from;
+    if (sampled) {
+      moduleNs += (System.nanoTime() - from) * (SAMPLED + 1);
+    }
     for (int i = 0; i < decided.actions.size(); i++) {
       carryOut(decided.actions.get(i));
     }
--- /dev/null
+++ b/src/main/java/hollyslip/load/CoresBench.java
@@ -0,0 +1,146 @@
+package hollyslip.load;
+
+import hollyslip.gateway.Gateway;
+import hollyslip.load.RingBench.Node;
+import hollyslip.load.RingBench.Row;
+import hollyslip.settings.Deployment;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+
+/** The same load on one, two, four and eight lanes: volumes of one weight, a client each, as fast as they are
+ * answered. */
+public final class CoresBench {
+  private static final int VOLUMES = 8, BLOCK = 4_096;
+  private static final long BYTES = 2 << 20;
+  private static final List<String> GROUPS = List.of("engine", "node-io");
+
+  private final int rounds;
+  private final double seconds;
+  private final int depth;
+  private final int nodes;
+  private final int[] lanes;
+
+  /** @param rounds
+   *          of each measurement; medians are shown
+   * @param seconds
+   *          of one measurement
+   * @param depth
+   *          requests that each client keeps out
+   * @param nodes
+   *          stand-ins
+   * @param lanes
+   *          to be compared */
+  public CoresBench(int rounds, double seconds, int depth, int nodes, int[] lanes) {
+    this.rounds = rounds;
+    this.seconds = seconds;
+    this.depth = depth;
+    this.nodes = nodes;
+    this.lanes = lanes.clone();
+  }
+
+  /** What all clients got: requests a second, the worst client's latencies, and the least volume's part of
+   * the mean. */
+  private record Total(double rate, double p50, double p99, double p999, double least, double[] busy) {
+    static Total of(List<Row> rows, double[] busy) {
+      double rate = rows.stream().mapToDouble(Row::rate).sum();
+      return new Total(rate, most(rows, Row::p50), most(rows, Row::p99), most(rows, Row::p999), rows.stream()
+          .mapToDouble(Row::rate)
+          .min()
+          .orElseThrow() * rows.size() / rate, busy);
+    }
+
+    private static double most(List<Row> rows, java.util.function.ToDoubleFunction<Row> f) {
+      return rows.stream().mapToDouble(f).max().orElseThrow();
+    }
+  }
+
+  /** Measures and prints the table. */
+  public void run() throws Exception {
+    System.out.printf("%-6s %12s %10s %10s %10s %18s %8s %8s%n", "lanes", "requests/s", "p50 us",
+        "p99 us",
+        "p99.9 us", "least of a volume", "engines", "node-io");
+    List<List<Total>> all = new ArrayList<>();
+    IntStream.range(0, lanes.length).forEach(i -> all.add(new ArrayList<>()));
+    for (int round = 0; round < rounds; round++) {
+      for (int i = 0; i < lanes.length; i++) {
+        all.get(i).add(measure(lanes[i]));
+      }
+    }
+    for (int i = 0; i < lanes.length; i++) {
+      List<Total> t = all.get(i);
+      System.out.printf(Locale.ROOT, "%-6d %12.0f %10.1f %10.1f %10.1f %18.2f %8.1f %8.1f%n", lanes[i],
+          mid(t,
+              Total::rate),
+          mid(t, Total::p50), mid(t, Total::p99), mid(t, Total::p999), mid(t, Total::least), mid(t,
+              x -> x.busy[0]),
+          mid(t, x -> x.busy[1]));
+    }
+  }
+
+  private static double mid(List<Total> all, java.util.function.ToDoubleFunction<Total> f) {
+    double[] sorted = all.stream().mapToDouble(f).sorted().toArray();
+    return sorted[sorted.length / 2];
+  }
+
+  /** Cores that engines and node threads of the gateway kept busy. */
+  private static double[] busy(long wallNs) {
+    java.lang.management.ThreadMXBean bean = java.lang.management.ManagementFactory.getThreadMXBean();
+    double[] cores = new double[GROUPS.size()];
+    for (java.lang.management.ThreadInfo t : bean.getThreadInfo(bean.getAllThreadIds())) {
+      for (int g = 0; t != null && g < cores.length; g++) {
+        if (t.getThreadName().startsWith(GROUPS.get(g))) {
+          cores[g] += (double) bean.getThreadCpuTime(t.getThreadId()) / wallNs;
+        }
+      }
+    }
+    return cores;
+  }
+
+  private Total measure(int cores) throws Exception {
+    Path dir = Files.createTempDirectory("hollyslip-bench-");
+    List<Node> started = new ArrayList<>();
+    try {
+      for (int i = 0; i < nodes; i++) {
+        started.add(new Node("node-" + i));
+      }
+      StringBuilder volumes = new StringBuilder();
+      for (int v = 0; v < VOLUMES; v++) {
+        volumes.append(String.format(
+            "volume('v%d', tenant = 't%d', plan = 'p', size = 2 * MiB, extent = 64 * "
+                + "KiB, shards = list(range(%d)), at = %d * MiB)%n", v, v, nodes, 2 * v / nodes));
+      }
+      Deployment d = BenchSite.load(dir, started.stream().mapToInt(n -> n.address.getPort()).toArray(),
+          ", cores = " + cores, volumes.toString());
+      Gateway gateway = new Gateway(d);
+      Row[] rows = new Row[VOLUMES];
+      Thread[] clients = new Thread[VOLUMES];
+      for (int v = 0; v < VOLUMES; v++) {
+        int n = v;
+        clients[v] = new Thread(() -> {
+          try {
+            rows[n] = RingBench.patient("v" + n, gateway.socket("v" + n), depth, BLOCK, seconds, BYTES,
+                gateway
+                    .lanes()::totals);
+          } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+          }
+        });
+        clients[v].start();
+      }
+      long from = System.nanoTime();
+      for (Thread t : clients) {
+        t.join();
+      }
+      double[] busy = busy(System.nanoTime() - from);
+      gateway.close();
+      return Total.of(Arrays.asList(rows), busy);
+    } finally {
+      started.forEach(Node::close);
+    }
+  }
+}
--- a/src/main/java/hollyslip/load/RingBench.java
+++ b/src/main/java/hollyslip/load/RingBench.java
@@ -65,8 +65,18 @@
 
   /** Through a ring: {@code totals} are the gateway's, in this process. */
   public static Row ring(String path, Path socket, int depth, int block, double seconds, long bytes,
-      Supplier<Engine.Totals> totals)
-      throws IOException {
+      Supplier<Engine.Totals> totals) throws IOException {
+    return ring(path, socket, depth, block, seconds, bytes, totals, false);
+  }
+
+  /** As the other, by a client that sleeps while it waits: for many at a time. */
+  static Row patient(String path, Path socket, int depth, int block, double seconds, long bytes,
+      Supplier<Engine.Totals> totals) throws IOException {
+    return ring(path, socket, depth, block, seconds, bytes, totals, true);
+  }
+
+  private static Row ring(String path, Path socket, int depth, int block, double seconds, long bytes,
+      Supplier<Engine.Totals> totals, boolean sleeps) throws IOException {
     int size = Integer.highestOneBit(Math.max(4, 2 * depth - 1));
     try (RingClient c = new RingClient(RingClient.Options.usual(1, size, block))) {
       c.connect(socket);
@@ -97,8 +107,8 @@
           });
         }
         c.kick();
-        if (c.poll() == 0) {
-          Thread.onSpinWait();
+        if (c.poll() == 0 && sleeps) {
+          c.await(1);
         }
       }
       double took = (System.nanoTime() - counted) / 1e9;
