--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -908,6 +908,9 @@
       return null;
     }
     long edge = any.rules.lateWorth() < 1 ? now + (long) (n.wait + beyondMean(any)) : Long.MIN_VALUE;
+    if (any.aimAt >= edge && ready(n, any)) {
+      return any;
+    }
     Aim from = new Aim(edge, Long.MIN_VALUE);
     Pending p = first(n, line.tailMap(from));
     return p != null ? p : first(n, line.headMap(from));
--- a/src/main/java/hollyslip/cli/BenchCommand.java
+++ b/src/main/java/hollyslip/cli/BenchCommand.java
@@ -1,6 +1,7 @@
 package hollyslip.cli;
 
 import hollyslip.load.CoresBench;
+import hollyslip.load.ModuleBench;
 import hollyslip.load.Profile;
 import hollyslip.load.RingComparison;
 import hollyslip.load.TenantBench;
@@ -13,7 +14,7 @@
 
 /** Measurements. */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measurements on this machine.", subcommands = {
-    BenchCommand.Ring.class, BenchCommand.Cores.class, BenchCommand.Tenants.class})
+    BenchCommand.Ring.class, BenchCommand.Cores.class, BenchCommand.Module.class, BenchCommand.Tenants.class})
 final class BenchCommand implements Callable<Integer> {
   @Override
   public Integer call() {
@@ -80,6 +81,14 @@
     }
   }
 
+  @Command(name = "module", mixinStandardHelpOptions = true, description = "The decision module alone: ns a request by how many wait in it.")
+  static final class Module extends Measurement {
+    @Override
+    void run() throws Exception {
+      new ModuleBench(rounds).run();
+    }
+  }
+
   @Command(name = "tenants", mixinStandardHelpOptions = true, description = "Changes a second with their sync and what they cost requests; a flooding neighbour; recovery by size; the module with 10 and with 50,000 volumes.")
   static final class Tenants extends Measurement {
     @Override
