--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -132,41 +132,28 @@
     long quietUntil = Long.MIN_VALUE;
   }
 
-  /** Rule 7: attempts beyond the first against requests taken, in a sliding window. */
+  /** Rule 7: attempts beyond the first against requests taken: in any span at most what is free and the share
+   * of what was taken in it, so that sums over hosts or lanes keep it too, which windows of each do not: what
+   * justified an attempt may have left them. Harm: fewer at once; none at all with under one free. */
   static final class Budget {
     private final Rules rules;
-    private final ArrayDeque<Long> taken = new ArrayDeque<>(), extra = new ArrayDeque<>();
+    private double room;
 
     Budget(Rules rules) {
       this.rules = rules;
+      room = rules.budgetFree();
     }
 
-    void took(long now) {
-      note(taken, now);
+    void took() {
+      room = Math.min(rules.budgetFree(), room + rules.budgetShare());
     }
 
-    void spend(long now) {
-      note(extra, now);
+    void spend() {
+      room -= rules.budgetWindowUs() > 0 ? 1 : 0;
     }
 
-    private void note(ArrayDeque<Long> times, long now) {
-      if (rules.budgetWindowUs() > 0) {
-        times.add(now);
-      }
-    }
-
-    /** Both counts are taken over the same span; a request exactly as old as the span is left out, an extra
-     * kept. */
-    boolean allows(long now) {
-      long from = now - rules.budgetWindowUs();
-      while (!taken.isEmpty() && taken.peek() <= from) {
-        taken.poll();
-      }
-      while (!extra.isEmpty() && extra.peek() < from) {
-        extra.poll();
-      }
-      return rules.budgetWindowUs() <= 0 || extra.size() + 1 <= rules.budgetFree() + rules.budgetShare()
-          * taken.size();
+    boolean allows() {
+      return rules.budgetWindowUs() <= 0 || room >= 1;
     }
   }
 
@@ -803,7 +790,7 @@
   }
 
   private void take(Request r) {
-    budget.took(now);
+    budget.took();
     RequestClass rules = classes.get(r.className());
     VolumeChanged own = terms.get(r.volume());
     Plan plan = own != null ? own.plan() : plans.get(r.plan());
@@ -903,7 +890,7 @@
   /** Of requests of one sort the first by aim that may go: of those still in time, if they earn more. */
   private Pending first(Node n, Sort sort, TreeMap<Aim, Pending> line) {
     Pending any = line.firstEntry().getValue();
-    if (sort.again && !budget.allows(now) || any.limit != null && !sort.paid && !any.limit.allows(sort.units,
+    if (sort.again && !budget.allows() || any.limit != null && !sort.paid && !any.limit.allows(sort.units,
         now)) {
       return null;
     }
@@ -977,7 +964,7 @@
     v.fill(now);
     v.tokens -= p.request.units();
     if (p.attempts > 0) {
-      budget.spend(now);
+      budget.spend();
     }
     if (p.limit != null && !p.paid) {
       p.limit.add(-p.request.units());
--- a/src/main/java/hollyslip/gateway/Gateway.java
+++ b/src/main/java/hollyslip/gateway/Gateway.java
@@ -135,9 +135,14 @@
     List<Engine> engines = new ArrayList<>();
     for (int i = 0; i < p.cores(); i++) {
       HostScheduler.Settings m = deployment.module();
+      HostScheduler.Rules r = m.rules();
+      // What the budget allows beside its share is the process's: lanes divide it, or the sum would pass it.
+      HostScheduler.Rules part = new HostScheduler.Rules(r.answerSlackUs(), r.drainGraceUs(), r.coldFrom(), r
+          .coldUs(), r.fallMultiple(), r.fallUs(), r.orderSettleUs(), r.budgetShare(), r.budgetFree() / p
+              .cores(), r.budgetWindowUs(), r.askWithinUs());
       HostScheduler.Settings own = new HostScheduler.Settings(m.seed() + i * LANE_SEEDS, m.index(), m.hosts(),
           m
-              .zone(), m.tickUs(), m.listOnRequest(), m.classes(), m.plans(), m.rules(), m.allowed(), m
+              .zone(), m.tickUs(), m.listOnRequest(), m.classes(), m.plans(), part, m.allowed(), m
                   .store(), m
                       .reportSource(), m.reportFields());
       engines.add(new Engine(new Engine.Config(own, classifier, new Splitter(MOST_COMMAND), Math.max(1, p
--- a/src/main/java/hollyslip/load/Day.java
+++ b/src/main/java/hollyslip/load/Day.java
@@ -15,6 +15,8 @@
  *          of all that is drawn
  * @param gateways
  *          gateway processes
+ * @param lanes
+ *          cores of each
  * @param example
  *          whether the settings that ship are run, with their volumes and plans
  * @param nodes
@@ -25,7 +27,7 @@
  *          volumes and their load
  * @param troubles
  *          what goes wrong, by time */
-public record Day(double seconds, long seed, int gateways, boolean example, Nodes nodes,
+public record Day(double seconds, long seed, int gateways, int lanes, boolean example, Nodes nodes,
     Map<String, Map<String, Double>> plans, List<Load> volumes, List<Trouble> troubles) {
 
   /** The stand-ins: all alike but for their seeds. */
@@ -80,6 +82,7 @@
     private double seconds = 60;
     private long seed = 1;
     private int gateways = 1;
+    private int lanes = 1;
     private boolean example;
     private Nodes nodes = new Nodes(6, 4, 64, 1_000);
     private final Map<String, Map<String, Double>> plans = new java.util.LinkedHashMap<>();
@@ -104,7 +107,7 @@
         throw new Wrong(line, "no volume is given");
       }
       troubles.sort(java.util.Comparator.comparingDouble(Trouble::at));
-      return new Day(seconds, seed, gateways, example, nodes, plans, volumes, troubles);
+      return new Day(seconds, seed, gateways, lanes, example, nodes, plans, volumes, troubles);
     }
 
     private void fact(String[] w) {
@@ -112,6 +115,7 @@
         case "day" -> seconds = number(w, 1, 1, 86_400);
         case "seed" -> seed = (long) number(w, 1, 0, 1e15);
         case "gateways" -> gateways = (int) number(w, 1, 1, 64);
+        case "lanes" -> lanes = (int) number(w, 1, 1, 16);
         case "settings" -> {
           if (w.length != 2 || !w[1].equals("example")) {
             throw new Wrong(line, "settings: only 'example' is known");
--- a/src/main/java/hollyslip/load/DayRunner.java
+++ b/src/main/java/hollyslip/load/DayRunner.java
@@ -179,7 +179,7 @@
           .replace("\"run\"", "\"run-" + gateway + "\"")
           .replace("\"state\"", "\"state-" + gateway + "\"")
           .replace("index = 0,", "index = " + gateway + ",")
-          .replace("hosts = 1,", "hosts = " + day.gateways() + ",");
+          .replace("hosts = 1,", "hosts = " + day.gateways() + ", cores = " + day.lanes() + ",");
       return day.example() ? example : example.substring(0, example.indexOf("# Plans:")) + own();
     }
   }
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -175,6 +175,36 @@
     assertEquals(List.of(), a.breaches);
   }
 
+  /** Two lanes, each within its own sliding window, passed the window of both together. */
+  @Test
+  void budgetsOfSeveralHoldTogetherInAnySpan() {
+    double free = 6;
+    Rules rules = new Rules(0, 0, 0, 0, 1, 1, 0, 0.5, free / 2, 1_000, 0);
+    Choice.Budget[] lanes = {new Choice.Budget(rules), new Choice.Budget(rules)};
+    var random = new java.util.SplittableRandom(9);
+    List<int[]> story = new java.util.ArrayList<>();
+    for (int step = 0; step < 4_000; step++) {
+      int lane = step / 500 % 2 == 0 ? 0 : random.nextInt(2);
+      if (random.nextInt(3) > 0) {
+        lanes[lane].took();
+        story.add(new int[]{1, 0});
+      } else if (lanes[lane].allows()) {
+        lanes[lane].spend();
+        story.add(new int[]{0, 1});
+      }
+    }
+    for (int from = 0; from < story.size(); from += 7) {
+      double taken = 0;
+      double extra = 0;
+      for (int i = from; i < Math.min(story.size(), from + 900); i++) {
+        taken += story.get(i)[0];
+        extra += story.get(i)[1];
+        assertTrue(extra <= free + 0.5 * taken, "from " + from + " to " + i);
+      }
+    }
+    assertTrue(story.stream().mapToInt(s -> s[1]).sum() > 500);
+  }
+
   @Test
   void furtherAttemptsStayInTheBudget() {
     RuleAudit a = audit();
