--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -63,9 +63,12 @@
    * @param mostRequests
    *          requests held at most
    * @param mostBytes
-   *          bytes of requests held at most */
+   *          bytes of requests held at most
+   * @param firstRequest
+   *          number of its first request: those of two lanes of one process must differ, as nodes see them in
+   *          the cookies of one client */
   public record Config(HostScheduler.Settings settings, Classifier classifier, Splitter splitter,
-      long mostRequests, long mostBytes) {}
+      long mostRequests, long mostBytes, long firstRequest) {}
 
   /** Totals since the start; {@code moduleNs} is the time spent inside the module, from samples. */
   public record Totals(long taken, long served, long refused, long failed, long departed, long attempts,
@@ -142,6 +145,7 @@
 
   public Engine(Config config, Map<String, Volume> volumes, HostScheduler module) {
     this.config = config;
+    nextPiece = config.firstRequest();
     this.module = module;
     config.settings().plans().forEach(p -> plans.put(p.name(), p));
     volumes.values().forEach(this::begin);
--- a/src/main/java/hollyslip/gateway/Gateway.java
+++ b/src/main/java/hollyslip/gateway/Gateway.java
@@ -50,6 +50,9 @@
   /** Longest command that nodes take: the NBD protocol's limit without a block size constraint is 32 MiB. */
   private static final long MOST_COMMAND = 32 << 20;
 
+  /** Requests that a lane can number before the next one's numbers begin; a cookie has 12 bits more. */
+  private static final long LANE_REQUESTS = 1L << 44;
+
   /** Between the seeds of two lanes, so that those of neighbouring gateways do not meet. */
   private static final long LANE_SEEDS = 1L << 32;
 
@@ -146,7 +149,8 @@
                   .store(), m
                       .reportSource(), m.reportFields());
       engines.add(new Engine(new Engine.Config(own, classifier, new Splitter(MOST_COMMAND), Math.max(1, p
-          .mostRequests() / p.cores()), Math.max(1, p.mostBytes() / p.cores())), Map.of(), new Choice(own)));
+          .mostRequests() / p.cores()), Math.max(1, p.mostBytes() / p.cores()), i * LANE_REQUESTS), Map.of(),
+          new Choice(own)));
     }
     return engines;
   }
--- a/src/main/java/hollyslip/load/RingComparison.java
+++ b/src/main/java/hollyslip/load/RingComparison.java
@@ -114,7 +114,7 @@
   private static Engine echo(Deployment d) {
     Engine e = new Engine(new Engine.Config(d.module(), new Classifier(d.rows(), d.gateway().unitBytes(), d
         .store()
-        .mostUnits()), new Splitter(1 << 20), 65_536, 1 << 30), d.byName(), new Choice(d.module()));
+        .mostUnits()), new Splitter(1 << 20), 65_536, 1 << 30, 0), d.byName(), new Choice(d.module()));
     e.start(new NodePort() {
       @Override
       public void send(Attempt attempt) {
--- a/src/test/java/hollyslip/e2e/LanesTest.java
+++ b/src/test/java/hollyslip/e2e/LanesTest.java
@@ -178,6 +178,11 @@
         assertTrue(site.disks.stream()
             .flatMap(d -> d.commands().stream())
             .noneMatch(c -> c.result() == Command.Result.FENCED));
+        long[] requests = site.disks.stream()
+            .flatMap(d -> d.commands().stream())
+            .mapToLong(c -> c.cookie() >> 12)
+            .toArray();
+        assertEquals(3 * BLOCKS, Arrays.stream(requests).distinct().count(), "numbers of two lanes differ");
       }
       assertTrue(g.close());
     }
--- a/src/test/java/hollyslip/load/DayTest.java
+++ b/src/test/java/hollyslip/load/DayTest.java
@@ -17,6 +17,7 @@
       day 5
       seed 3
       gateways 2
+      lanes 2
       nodes count 3 cores 4 queue 32 base-us 800
       plan gold rate 400 reserve 200 weight 2
       plan capped rate 200 reserve 50 weight 1 limit 500 limit-burst 100 limit-slack 20
