--- /dev/null
+++ b/src/main/java/hollyslip/cli/EmulateCommand.java
@@ -0,0 +1,77 @@
+package hollyslip.cli;
+
+import hollyslip.audit.Asked;
+import hollyslip.emulator.Outcome;
+import hollyslip.emulator.World;
+import hollyslip.load.Day;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays a day file in virtual time. */
+@Command(name = "emulate", mixinStandardHelpOptions = true, description = "Plays a day file (docs/replay.md) in virtual time on models of nodes, network and clients, with the gateway's own engine and module, and audits it. What it prints is simulated.")
+final class EmulateCommand implements Callable<Integer> {
+  @Parameters(paramLabel = "FILE", description = "day file")
+  Path file;
+  @Option(names = "--seed", description = "in place of the file's")
+  Long seed;
+
+  @Option(names = "--timeline", description = "a row for each quarter of a second in which requests were due")
+  boolean timeline;
+
+  @Override
+  public Integer call() throws IOException {
+    Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.ERROR);
+    Day day;
+    try {
+      day = Day.parse(Files.readString(file));
+      day = seed == null ? day : day.with(seed);
+      long from = System.nanoTime();
+      Outcome o = World.play(day);
+      double took = (System.nanoTime() - from) / 1e9;
+      print(o);
+      if (timeline) {
+        timeline(o);
+      }
+      System.out.printf(Locale.ROOT,
+          "simulated: %.0f s of %d gateways and %d nodes in %.2f s, %,.0f happenings a second%n", day
+              .seconds(), day.gateways(), day.nodes().count(), took, o.happenings() / took);
+      return AuditCommand.print(o.audit()) ? Main.DONE : Main.FAILED;
+    } catch (IllegalArgumentException e) {
+      System.err.println(file + ": " + e.getMessage());
+      return Main.WRONG;
+    }
+  }
+
+  /** A row a plan. */
+  static void print(Outcome o) {
+    head("plan");
+    o.plans().forEach(EmulateCommand::row);
+  }
+
+  private static void timeline(Outcome o) {
+    head("due at, s");
+    for (int i = 0; i < o.timeline().size(); i++) {
+      row(String.format(Locale.ROOT, "%.2f", i * Outcome.INTERVAL_US / 1e6), o.timeline().get(i));
+    }
+  }
+
+  private static void head(String first) {
+    System.out.printf("%-14s %9s %8s %8s %8s %8s %9s %9s %9s%n", first, "asked", "served", "refused",
+        "failed", "in aim", "p50 ms", "p99 ms", "p99.9 ms");
+  }
+
+  private static void row(String name, Outcome.Tally t) {
+    double n = Math.max(1, t.asked());
+    System.out.printf(Locale.ROOT, "%-14s %9d %7.2f%% %7.2f%% %7.2f%% %7.2f%% %9.2f %9.2f %9.2f%n", name, t
+        .asked(), 100 * t.count(Asked.Answer.SERVED) / n, 100 * t.count(Asked.Answer.REFUSED) / n, 100 * t
+            .count(Asked.Answer.FAILED) / n, 100 * t.inAim(), t.latency().getValueAtPercentile(50) / 1e3, t
+                .latency()
+                .getValueAtPercentile(99) / 1e3, t.latency().getValueAtPercentile(99.9) / 1e3);
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/emulator/Caller.java
@@ -0,0 +1,209 @@
+package hollyslip.emulator;
+
+import hollyslip.HostScheduler.RequestClass;
+import hollyslip.audit.Asked;
+import hollyslip.engine.Answer;
+import hollyslip.engine.Engine;
+import hollyslip.engine.Io;
+import hollyslip.load.Arrivals;
+import hollyslip.load.Day;
+import hollyslip.node.Nbd;
+import hollyslip.volume.IoKind;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** A client of a volume at one gateway: asks on a schedule that does not wait for answers. What its ring has
+ * no room for waits with it, and its time runs from when it was due. */
+final class Caller {
+  private static final int BLOCK = 4_096;
+
+  final Day.Load load;
+  private final World world;
+  private final Site site;
+  private final String name;
+  private final long from, bytes;
+  private final Arrivals arrivals;
+  private final SplittableRandom random;
+  private final ArrayDeque<Ask> backlog = new ArrayDeque<>();
+  private final Set<Ask> out = new LinkedHashSet<>();
+  private double speed = 1;
+  private boolean readsOnly, abusive, blocked, ended;
+  private long number;
+
+  /** A request, from when it is due to its end. */
+  private final class Ask implements Io.Client {
+    final long id;
+    final IoKind kind;
+    final long offset, length, dueUs;
+    final long mark;
+    final RequestClass rules;
+    long askedUs, deadlineUs;
+    Io io;
+    private boolean taken, over, left;
+
+    Ask(IoKind kind, long offset, long length) {
+      id = ++number;
+      this.kind = kind;
+      this.offset = offset;
+      this.length = length;
+      dueUs = world.time.now();
+      mark = kind.changes() ? world.nextMark() : 0;
+      rules = world.rules(kind, length);
+    }
+
+    void handIn() {
+      List<ByteBuffer> data = kind.changes()
+          ? List.of(ByteBuffer.allocate(Long.BYTES).putLong(0, mark))
+          : List.of();
+      Io mine = new Io(load.volume(), kind, offset, length, data, 0, this);
+      io = mine;
+      out.add(this);
+      site.offer(mine, room -> {
+        taken = room;
+        if (room) {
+          askedUs = world.time.now();
+          deadlineUs = askedUs + rules.deadlineUs();
+        } else {
+          out.remove(this);
+          backlog.addFirst(this);
+          blocked = true;
+        }
+      });
+    }
+
+    @Override
+    public void answered(Answer answer) {
+      if (left) {
+        return;
+      }
+      if (over) {
+        note(2, Asked.Answer.NONE, false);
+        return;
+      }
+      over = true;
+      out.remove(this);
+      Asked.Answer kindOfAnswer = Asked.Answer.valueOf(answer.kind().name());
+      note(1, kindOfAnswer, false);
+      if (abusive && kindOfAnswer != Asked.Answer.SERVED && !ended) {
+        due();
+      }
+      pump();
+    }
+
+    @Override
+    public void released() {
+      // There is no memory to free.
+    }
+
+    void note(int answers, Asked.Answer answer, boolean left) {
+      long now = world.time.now();
+      world.note(new Asked(name, site.name, load.volume(), id, kind == IoKind.READ
+          ? Nbd.CMD_READ
+          : Nbd.CMD_WRITE, offset, length, 0, -1, mark, askedUs, deadlineUs, answers, answers > 0 ? now : 0,
+          answer, left), load.plan(), dueUs, rules.aimUs());
+    }
+  }
+
+  Caller(World world, Site site, Day.Load load, int number, int all, long volumeBytes, long seed) {
+    this.world = world;
+    this.site = site;
+    this.load = load;
+    name = load.volume() + "-" + number;
+    bytes = volumeBytes / all / BLOCK * BLOCK;
+    from = number * bytes;
+    random = new SplittableRandom(seed);
+    arrivals = new Arrivals(load.shape(), load.rate() / all, random.nextLong());
+  }
+
+  /** Begins its schedule. */
+  void begin() {
+    long at = Sequence.START + arrivals.next(speed);
+    if (!ended) {
+      world.time.at(at, () -> {
+        if (!ended) {
+          due();
+          begin();
+        }
+      });
+    }
+  }
+
+  /** Asks nothing new from now on. */
+  void end() {
+    ended = true;
+  }
+
+  void speed(double factor) {
+    speed = factor;
+  }
+
+  void readsOnly(boolean on) {
+    readsOnly = on;
+  }
+
+  void abusive(boolean on) {
+    abusive = on;
+  }
+
+  private void due() {
+    int blocks = (int) Math.min(1 + random.nextInt(load.mostBlocks()), bytes / BLOCK);
+    long offset = from + random.nextLong(bytes / BLOCK - blocks + 1) * BLOCK;
+    boolean read = random.nextDouble() < load.reads() || readsOnly;
+    backlog.add(new Ask(read ? IoKind.READ : IoKind.WRITE, offset, (long) blocks * BLOCK));
+    pump();
+  }
+
+  private void pump() {
+    while (site.isAlive() && !blocked && out.size() < load.depth() && !backlog.isEmpty()) {
+      backlog.poll().handIn();
+    }
+  }
+
+  /** A gateway serves its volume from now on. */
+  void arrived(Engine engine) {
+    blocked = false;
+    engine.onRoom(() -> {
+      blocked = false;
+      pump();
+    });
+    pump();
+  }
+
+  /** The gateway was killed: what is out is asked again when there is one. */
+  void abandoned() {
+    List<Ask> again = new ArrayList<>(out);
+    out.clear();
+    for (int i = again.size() - 1; i >= 0; i--) {
+      again.get(i).taken = false;
+      backlog.addFirst(again.get(i));
+    }
+  }
+
+  /** Leaves with everything out, and goes on as a new one. */
+  void drop() {
+    for (Ask a : List.copyOf(out)) {
+      if (a.taken) {
+        a.left = true;
+        out.remove(a);
+        a.note(0, Asked.Answer.NONE, true);
+        site.depart(a.io);
+      }
+    }
+    pump();
+  }
+
+  /** The run is over. */
+  void finish() {
+    out.forEach(a -> {
+      if (a.taken) {
+        a.note(0, Asked.Answer.NONE, false);
+      }
+    });
+    world.never(load.plan(), backlog.size() + out.stream().filter(a -> !a.taken).count());
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/emulator/Flight.java
@@ -0,0 +1,47 @@
+package hollyslip.emulator;
+
+import hollyslip.engine.Attempt;
+import hollyslip.node.Nbd;
+import hollyslip.volume.IoKind;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/** An attempt on its way to a node and back. */
+final class Flight {
+  final Attempt attempt;
+  final Link link;
+  final long cookie;
+  final int kind;
+  final long offset;
+  final long length;
+  final String export;
+  /** What a write writes: a number of its own stands for the bytes. */
+  final long mark;
+  long receivedUs;
+  /** Whether its first byte has left. */
+  boolean sent;
+  /** Whether the engine has heard what came of it. */
+  boolean told;
+  /** Whether the engine has given it up. */
+  boolean withdrawn;
+
+  Flight(Attempt attempt, Link link) {
+    this.attempt = attempt;
+    this.link = link;
+    cookie = attempt.request() << 12 | attempt.number();
+    kind = switch (attempt.kind()) {
+      case READ -> Nbd.CMD_READ;
+      case WRITE -> Nbd.CMD_WRITE;
+      case FLUSH -> Nbd.CMD_FLUSH;
+      case DISCARD -> Nbd.CMD_TRIM;
+      case WRITE_ZEROES -> Nbd.CMD_WRITE_ZEROES;
+    };
+    offset = attempt.offset();
+    length = attempt.length();
+    export = "shard-" + attempt.shard();
+    List<ByteBuffer> data = attempt.data();
+    boolean marked = attempt.kind() == IoKind.WRITE && !data.isEmpty() && data.get(0)
+        .remaining() >= Long.BYTES;
+    mark = marked ? data.get(0).getLong(data.get(0).position()) : 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/emulator/Net.java
@@ -0,0 +1,165 @@
+package hollyslip.emulator;
+
+import hollyslip.HostScheduler.Result;
+import hollyslip.engine.Attempt;
+import hollyslip.engine.NodePort;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+
+/** The nodes as one start of a gateway's engine reaches them, in place of the product's connections: a link
+ * each, made when it is needed, fences by making a newer one. */
+final class Net implements NodePort {
+  private final Site site;
+  private final long epoch;
+  private final Link[] links;
+  /** Changes of dead links that may still run, by node and serial. */
+  private final List<TreeMap<Long, List<Flight>>> doubts;
+  private long serials;
+  /** The process is gone: nothing reaches it any more. */
+  private boolean dead;
+
+  Net(Site site, long epoch) {
+    this.site = site;
+    this.epoch = epoch;
+    links = new Link[site.world.disks().size()];
+    doubts = site.world.disks().stream().map(d -> new TreeMap<Long, List<Flight>>()).toList();
+  }
+
+  String client() {
+    return site.name;
+  }
+
+  String process() {
+    return site.name + "/" + epoch;
+  }
+
+  /** When something that leaves now arrives. */
+  long arrival(Disk disk) {
+    return site.arrival(disk);
+  }
+
+  /** Something reaches the gateway. */
+  void told(Runnable what) {
+    if (!dead) {
+      site.input(what);
+    }
+  }
+
+  boolean started(Disk disk, long boot, long ageUs) {
+    return site.started(disk, boot, ageUs);
+  }
+
+  void outcome(Flight f, Result result) {
+    f.told = true;
+    site.engine().outcome(f.attempt, result, null);
+  }
+
+  void resolved(Flight f) {
+    site.engine().resolved(f.attempt);
+  }
+
+  private Disk disk(long node) {
+    return site.world.disks().get((int) node - 1);
+  }
+
+  @Override
+  public void send(Attempt attempt) {
+    Disk disk = disk(attempt.node());
+    Link link = links[disk.index];
+    if (link == null || link.isClosed()) {
+      link = open(disk);
+    }
+    Flight f = new Flight(attempt, link);
+    attempt.handle = f;
+    if (link.size() >= site.mostOut()) {
+      outcome(f, Result.FULL);
+    } else {
+      link.add(f);
+    }
+  }
+
+  private Link open(Disk disk) {
+    Link link = new Link(this, disk, epoch << 32 | ++serials, site.world.time);
+    links[disk.index] = link;
+    link.connect(site.connectTimeoutUs());
+    return link;
+  }
+
+  @Override
+  public Withdrawn withdraw(Attempt attempt) {
+    Flight f = (Flight) attempt.handle;
+    if (f.told) {
+      return Withdrawn.ENDED;
+    }
+    if (f.link.takeBack(f)) {
+      f.told = true;
+      return Withdrawn.NEVER_SENT;
+    }
+    f.withdrawn = true;
+    f.told = true;
+    return Withdrawn.MAY_RUN;
+  }
+
+  @Override
+  public void fence(Attempt attempt) {
+    Flight f = (Flight) attempt.handle;
+    if (!f.link.isClosed()) {
+      f.link.close(false);
+    } else {
+      reopen(f.link.disk);
+    }
+  }
+
+  /** A newer link was made: what older ones brought can have no effect any more. */
+  void fenced(Disk disk, long serial) {
+    var older = doubts.get(disk.index).headMap(serial);
+    List<Flight> over = older.values().stream().flatMap(List::stream).toList();
+    older.clear();
+    over.forEach(this::resolved);
+  }
+
+  /** A link has ended with these changes out. */
+  void lost(Link link, List<Flight> doubt) {
+    if (links[link.disk.index] == link) {
+      links[link.disk.index] = null;
+    }
+    if (!doubt.isEmpty()) {
+      doubts.get(link.disk.index).put(link.serial, doubt);
+      reopen(link.disk);
+    } else if (!doubts.get(link.disk.index).isEmpty()) {
+      site.world.time.in(site.connectTimeoutUs(), () -> told(() -> reopen(link.disk)));
+    }
+  }
+
+  private void reopen(Disk disk) {
+    if (!doubts.get(disk.index).isEmpty() && links[disk.index] == null) {
+      open(disk);
+    }
+  }
+
+  @Override
+  public void probe(long node) {
+    Disk disk = disk(node);
+    long from = site.world.time.now();
+    boolean up = disk.isUp() && !disk.faults.silent;
+    site.world.time.at(arrival(disk) * 2 - from, () -> told(() -> site.engine()
+        .probed(node, up ? Result.OK : Result.CONNECT_FAILED, site.world.time.now() - from, null)));
+  }
+
+  @Override
+  public void flush() {
+    // Links send at once.
+  }
+
+  @Override
+  public void watch() {
+    site.wanted();
+  }
+
+  @Override
+  public void close() {
+    dead = true;
+    Arrays.stream(links).filter(l -> l != null).forEach(l -> l.disk.disconnected(l));
+  }
+}
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.agrona.collections.Long2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -81,6 +82,7 @@
 
   private final Config config;
   private final HostScheduler module;
+  private final LongSupplier time;
   private final Map<String, RequestClass> classes = new HashMap<>();
   private final Mailbox mailbox = new Mailbox();
   private final Timers timers = new Timers();
@@ -144,7 +146,15 @@
   }
 
   public Engine(Config config, Map<String, Volume> volumes, HostScheduler module) {
+    this(config, volumes, module, Engine::clock);
+  }
+
+  /** @param time
+   *          the engine's clock, us, which never goes back: another than {@link #clock} where time is a
+   *          model's */
+  public Engine(Config config, Map<String, Volume> volumes, HostScheduler module, LongSupplier time) {
     this.config = config;
+    this.time = time;
     nextPiece = config.firstRequest();
     this.module = module;
     config.settings().plans().forEach(p -> plans.put(p.name(), p));
@@ -169,6 +179,21 @@
     thread.start();
   }
 
+  /** Has it run without a thread of its own: by {@link #step}, always on one thread, the one that makes all
+   * other calls too. */
+  public void startDriven(NodePort nodes) {
+    port = nodes;
+  }
+
+  /** Does all there is to do at this time; gives the time, us, at which there is something again if nothing
+   * comes in before, {@code Long.MAX_VALUE}: never. */
+  public long step() {
+    while (!work() || !mailbox.isEmpty()) {
+      // Each turn reads a batch of letters; what it does may post further ones.
+    }
+    return nextDue();
+  }
+
   /** The engine's clock, us: monotonic, the same for all processes of a machine. */
   public static long clock() {
     return System.nanoTime() / 1_000;
@@ -191,7 +216,7 @@
       awaitingRoom = true;
       return false;
     }
-    Operation op = new Operation(this, io, volume, rules(io), clock());
+    Operation op = new Operation(this, io, volume, rules(io), time.getAsLong());
     io.operation = op;
     mailbox.put(op);
     return true;
@@ -258,7 +283,7 @@
 
   /** Runs something on the engine's thread after so many us; call on the engine's thread. */
   public void after(long us, Runnable task) {
-    timers.set(clock() + us, task::run);
+    timers.set(time.getAsLong() + us, task::run);
   }
 
   /** A volume of the settings shares as its plan's weight says. */
@@ -383,7 +408,14 @@
   }
 
   private void turn() {
-    now = clock();
+    if (work()) {
+      mailbox.await(Math.min(NAP, Math.max(0, nextDue() - time.getAsLong())));
+    }
+  }
+
+  /** One turn; whether all letters were read. */
+  private boolean work() {
+    now = time.getAsLong();
     int read = 0;
     for (Runnable letter = mailbox.poll(); letter != null; letter = mailbox.poll()) {
       letter.run();
@@ -391,7 +423,7 @@
         break;
       }
     }
-    now = Math.max(now, clock());
+    now = Math.max(now, time.getAsLong());
     timers.run(now);
     for (Operation op = inside.peek(); op != null && (op.released || op.letInAt
         + insideUs <= now); op = inside.peek()) {
@@ -403,12 +435,13 @@
       awaitingRoom = false;
       turnedAway.forEach(Runnable::run);
     }
-    if (read < BATCH) {
-      long next = inside.isEmpty() || door.waiting() == 0
-          ? timers.next()
-          : Math.min(timers.next(), inside.peek().letInAt + insideUs);
-      mailbox.await(Math.min(NAP, Math.max(0, next - clock())));
-    }
+    return read < BATCH;
+  }
+
+  private long nextDue() {
+    return inside.isEmpty() || door.waiting() == 0
+        ? timers.next()
+        : Math.min(timers.next(), inside.peek().letInAt + insideUs);
   }
 
   // A request comes in.
--- a/src/main/java/hollyslip/engine/Mailbox.java
+++ b/src/main/java/hollyslip/engine/Mailbox.java
@@ -31,6 +31,11 @@
     return queue.poll();
   }
 
+  /** The owner alone. */
+  boolean isEmpty() {
+    return queue.isEmpty();
+  }
+
   /** Waits for a letter, but no longer than so many us. */
   void await(long us) {
     if (spin.until(us * 1_000, () -> !queue.isEmpty())) {
--- a/src/main/java/hollyslip/load/Day.java
+++ b/src/main/java/hollyslip/load/Day.java
@@ -30,12 +30,14 @@
 public record Day(double seconds, long seed, int gateways, int lanes, boolean example, Nodes nodes,
     Map<String, Map<String, Double>> plans, List<Load> volumes, List<Trouble> troubles) {
 
-  /** The stand-ins: all alike but for their seeds. */
-  public record Nodes(int count, int cores, int queue, long baseUs) {}
+  /** The stand-ins: all alike but for their seeds. For the emulator alone: {@code netUs} is one way on the
+   * network, drawn from half to one and a half of it; {@code engineUs} what one request costs a gateway's
+   * engine. */
+  public record Nodes(int count, int cores, int queue, long baseUs, long netUs, double engineUs) {}
 
   /** A volume and what its clients ask: {@code rate} requests a second over all gateways. */
   public record Load(String volume, String plan, int sizeMib, double rate, double reads, int mostBlocks,
-      int depth, int clients) {}
+      int depth, int clients, Arrivals.Shape shape) {}
 
   /** Something that goes wrong.
    *
@@ -57,13 +59,25 @@
   public static final Set<String> KINDS = Set.of("stall", "vanish", "hang", "fast-errors", "burst",
       "plan-burst", "volume-burst", "hot-volumes", "scan", "heavy-tail", "list-down", "gateway-crash",
       "reconnect", "answer-lost", "retry-abuse", "mass-restart", "preempt", "drain", "late-write", "slow",
-      "full", "client-vanish");
+      "full", "client-vanish", "partition");
 
-  private static final Set<String> NODE_WORDS = Set.of("count", "cores", "queue", "base-us");
+  /** Kinds of which {@code target} is a volume or a plan; that of others is a node. */
+  public static final Set<String> AT_LOAD = Set.of("plan-burst", "volume-burst", "retry-abuse",
+      "client-vanish");
+
+  /** Kinds that only the emulator plays. */
+  public static final Set<String> EMULATED = Set.of("partition");
+
+  /** What a description may name; sockets reach {@link #MOST_ON_SOCKETS} of each only. */
+  private static final int MOST_NODES = 1_000, MOST_GATEWAYS = 5_000;
+  private static final int MOST_ON_SOCKETS = 64;
+
+  private static final Set<String> NODE_WORDS = Set.of("count", "cores", "queue", "base-us", "net-us",
+      "engine-us");
   private static final Set<String> PLAN_WORDS = Set.of("rate", "reserve", "weight", "price", "limit",
       "limit-burst", "limit-slack");
   private static final Set<String> VOLUME_WORDS = Set.of("plan", "size-mib", "rate", "reads", "most-blocks",
-      "depth", "clients");
+      "depth", "clients", "period", "swing");
   private static final Set<String> TROUBLE_WORDS = Set.of("target", "for", "part", "size");
 
   /** Text that is not a day; names the line. */
@@ -78,13 +92,42 @@
     return new Reader().read(text);
   }
 
+  /** Checks that it can be played over sockets.
+   *
+   * @throws IllegalArgumentException
+   *           it is too large, or has trouble that only the emulator plays */
+  public void onSockets() {
+    if (nodes.count() > MOST_ON_SOCKETS || gateways > MOST_ON_SOCKETS) {
+      throw new IllegalArgumentException("at most " + MOST_ON_SOCKETS
+          + " nodes and gateways are played over sockets; hollyslip emulate plays more");
+    }
+    for (Trouble t : troubles) {
+      if (EMULATED.contains(t.kind())) {
+        throw new IllegalArgumentException("trouble '" + t.kind() + "' at " + t.at()
+            + " is played by hollyslip emulate only");
+      }
+    }
+  }
+
+  /** The same day with other troubles, in order of time. */
+  public Day with(List<Trouble> others) {
+    List<Trouble> sorted = new ArrayList<>(others);
+    sorted.sort(java.util.Comparator.comparingDouble(Trouble::at));
+    return new Day(seconds, seed, gateways, lanes, example, nodes, plans, volumes, sorted);
+  }
+
+  /** The same day drawn from another seed. */
+  public Day with(long otherSeed) {
+    return new Day(seconds, otherSeed, gateways, lanes, example, nodes, plans, volumes, troubles);
+  }
+
   private static final class Reader {
     private double seconds = 60;
     private long seed = 1;
     private int gateways = 1;
     private int lanes = 1;
     private boolean example;
-    private Nodes nodes = new Nodes(6, 4, 64, 1_000);
+    private Nodes nodes = new Nodes(6, 4, 64, 1_000, 40, 9);
     private final Map<String, Map<String, Double>> plans = new java.util.LinkedHashMap<>();
     private final List<Load> volumes = new ArrayList<>();
     private final List<Trouble> troubles = new ArrayList<>();
@@ -114,7 +157,7 @@
       switch (w[0]) {
         case "day" -> seconds = number(w, 1, 1, 86_400);
         case "seed" -> seed = (long) number(w, 1, 0, 1e15);
-        case "gateways" -> gateways = (int) number(w, 1, 1, 64);
+        case "gateways" -> gateways = (int) number(w, 1, 1, MOST_GATEWAYS);
         case "lanes" -> lanes = (int) number(w, 1, 1, 16);
         case "settings" -> {
           if (w.length != 2 || !w[1].equals("example")) {
@@ -125,9 +168,11 @@
         case "nodes" -> {
           Map<String, Double> f = figures(w, 1, NODE_WORDS);
           nodes = new Nodes(f.getOrDefault("count", 6.0).intValue(), f.getOrDefault("cores", 4.0).intValue(),
-              f.getOrDefault("queue", 64.0).intValue(), f.getOrDefault("base-us", 1_000.0).longValue());
-          if (nodes.count() < 1 || nodes.count() > 64) {
-            throw new Wrong(line, "nodes: count must be from 1 to 64");
+              f.getOrDefault("queue", 64.0).intValue(), f.getOrDefault("base-us", 1_000.0).longValue(), f
+                  .getOrDefault("net-us", 40.0)
+                  .longValue(), f.getOrDefault("engine-us", 9.0));
+          if (nodes.count() < 1 || nodes.count() > MOST_NODES) {
+            throw new Wrong(line, "nodes: count must be from 1 to " + MOST_NODES);
           }
         }
         case "plan" -> plans.put(name(w), figures(w, 2, PLAN_WORDS));
@@ -139,10 +184,17 @@
 
     private void volume(String[] w) {
       String plan = take(w, "plan");
+      Arrivals.Shape shape;
+      String word = take(w, "shape");
       Map<String, Double> f = figures(w, 2, VOLUME_WORDS);
+      try {
+        shape = Arrivals.Shape.of(word, f.getOrDefault("period", 0.0), f.getOrDefault("swing", 0.0));
+      } catch (IllegalArgumentException e) {
+        throw new Wrong(line, "volume " + w[1] + ": " + e.getMessage());
+      }
       volumes.add(new Load(name(w), plan, f.getOrDefault("size-mib", 24.0).intValue(), f.getOrDefault("rate",
           50.0), f.getOrDefault("reads", 0.6), f.getOrDefault("most-blocks", 4.0).intValue(), f.getOrDefault(
-              "depth", 64.0).intValue(), f.getOrDefault("clients", 1.0).intValue()));
+              "depth", 64.0).intValue(), f.getOrDefault("clients", 1.0).intValue(), shape));
       Load l = volumes.get(volumes.size() - 1);
       if (!(l.rate() > 0) || l.mostBlocks() < 1 || l.mostBlocks() > 256 || l.depth() < 1 || l.depth() > 512
           || l.clients() < 1 || l.sizeMib() < 1 || l.sizeMib() > 1_024) {
--- a/src/main/java/hollyslip/load/DayRunner.java
+++ b/src/main/java/hollyslip/load/DayRunner.java
@@ -12,9 +12,7 @@
 import hollyslip.standin.Command;
 import hollyslip.standin.DiskServer;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -74,6 +72,7 @@
    *          how much later than a deployment promises an answer may reach its client: the two ends' clocks
    *          of one request begin at its publishing and its taking */
   public DayRunner(Day day, Path dir, PrintStream out, long slackUs) {
+    day.onSockets();
     this.slackUs = slackUs;
     this.day = day;
     this.dir = dir;
@@ -120,7 +119,7 @@
     }
     writeFleet();
     for (int g = 0; g < day.gateways(); g++) {
-      Files.writeString(settings(g), text(g));
+      Files.writeString(settings(g), DaySettings.text(day, g));
       Loader.Loaded loaded = Loader.load(settings(g));
       if (!loaded.faults().isEmpty()) {
         throw new IOException("settings of the day: " + loaded.faults());
@@ -161,49 +160,12 @@
   }
 
   private void writeFleet() throws IOException {
-    StringBuilder s = new StringBuilder("NODES = [\n");
-    for (int i = 0; i < disks.size(); i++) {
-      s.append(String.format("    (\"%s\", %d, \"hall-%s\", %d, \"%s\"),%n", disks.get(i).name(), disks.get(i)
-          .address()
-          .getPort(), i % 2 == 0 ? "a" : "b", i, states[i].name().toLowerCase(Locale.ROOT)));
-    }
+    String fleet = DaySettings.fleet(disks.size(), i -> disks.get(i).address().getPort(), i -> states[i]);
     Path fresh = dir.resolve("fleet.star.new");
-    Files.writeString(fresh, s.append("]\n"));
+    Files.writeString(fresh, fleet);
     Files.move(fresh, dir.resolve("fleet.star"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
   }
 
-  private String text(int gateway) throws IOException {
-    try (InputStream in = DayRunner.class.getResourceAsStream("/hollyslip/example.star")) {
-      String example = new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("\"gateway-a\"",
-          "\"gateway-" + gateway + "\"")
-          .replace("\"run\"", "\"run-" + gateway + "\"")
-          .replace("\"state\"", "\"state-" + gateway + "\"")
-          .replace("index = 0,", "index = " + gateway + ",")
-          .replace("hosts = 1,", "hosts = " + day.gateways() + ", cores = " + day.lanes() + ",");
-      return day.example() ? example : example.substring(0, example.indexOf("# Plans:")) + own();
-    }
-  }
-
-  private String own() {
-    StringBuilder s = new StringBuilder();
-    day.plans().forEach((name, f) -> {
-      s.append("plan(\"").append(name).append('"');
-      f.forEach((k, v) -> s.append(", ").append(k.replace('-', '_')).append(" = ").append(v));
-      s.append(")\n");
-    });
-    s.append("for name, port, zone, shard, state in NODES:\n"
-        + "    node(name, port = port, zone = zone, shard = shard, state = state)\n");
-    int at = 0;
-    for (Day.Load v : day.volumes()) {
-      s.append(String.format(
-          "volume(\"%s\", tenant = \"%s\", plan = \"%s\", size = %d * MiB, extent = 256 * KiB, shards = "
-              + "[row[3] for row in NODES], at = %d * MiB)%n", v.volume(), v.volume(), v.plan(), v.sizeMib(),
-          at));
-      at += v.sizeMib() / day.nodes().count() + 1;
-    }
-    return s.toString();
-  }
-
   // Trouble.
 
   private void at(double seconds, String what, Action action) {
@@ -397,7 +359,8 @@
     }
     List<Asked> asked = clients.stream().flatMap(c -> c.load().records().stream()).toList();
     List<Command> commands = disks.stream().flatMap(d -> d.commands().stream()).toList();
-    Witness.figures(dir, figures());
+    Figures figures = DaySettings.figures(deployments.get(0), slackUs, 50_000);
+    Witness.figures(dir, figures);
     Witness.asked(dir, "clients", asked);
     Witness.commands(dir, "nodes", commands);
     Witness.told(dir, "operator", told);
@@ -416,31 +379,10 @@
         .filter(c -> !c.thread().getName().equals("leaver"))
         .flatMap(c -> c.load().wrong().stream())
         .toList();
-    return new Result(Auditor.check(figures(), asked, commands, told), wrong, answers, latency, clean);
+    return new Result(Auditor.check(figures, asked, commands, told), wrong, answers, latency, clean);
   }
 
   private String planOf(String volume) {
     return deployments.get(0).byName().get(volume).plan();
   }
-
-  private Figures figures() {
-    Deployment d = deployments.get(0);
-    Map<String, Figures.Limit> limits = new HashMap<>();
-    List<Figures.Area> areas = new ArrayList<>();
-    d.volumes().forEach(v -> {
-      d.plans()
-          .stream()
-          .filter(p -> p.name().equals(v.plan()) && p.limit() > 0)
-          .forEach(p -> limits.put(v.name(), new Figures.Limit(p.limit(), p.limitBurst(), p.limitSlack())));
-      for (int i = 0; i < v.extents().size(); i++) {
-        var e = v.extents().get(i);
-        areas.add(new Figures.Area(v.name(), "shard-" + e.shard(), e.offset(), e.offset() + v.extentBytes()));
-      }
-    });
-    var r = d.rules();
-    return new Figures(r.answerSlackUs() + slackUs, r.drainGraceUs(), r.orderSettleUs(), d.store()
-        .coldUnits(), r.coldFrom(), r.coldUs(), r.fallUs(), r.budgetFree(), r.budgetShare(), r
-            .budgetWindowUs(), 50_000, d.volumes().get(0).extentBytes(), d.gateway().unitBytes(), d.store()
-                .mostUnits(), limits, areas);
-  }
 }
--- /dev/null
+++ b/src/main/java/hollyslip/load/DaySettings.java
@@ -0,0 +1,86 @@
+package hollyslip.load;
+
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.audit.Figures;
+import hollyslip.settings.Deployment;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.IntFunction;
+import java.util.function.IntUnaryOperator;
+
+/** The settings scripts of a {@link Day}, and the figures by which it is audited: the same for gateways on
+ * sockets and for the emulator. */
+public final class DaySettings {
+  private DaySettings() {}
+
+  /** The script {@code fleet.star}: the nodes, one shard each. */
+  public static String fleet(int nodes, IntUnaryOperator port, IntFunction<NodeState> state) {
+    StringBuilder s = new StringBuilder("NODES = [\n");
+    for (int i = 0; i < nodes; i++) {
+      s.append(String.format("    (\"store-%d\", %d, \"hall-%s\", %d, \"%s\"),%n", i, port.applyAsInt(i), i
+          % 2 == 0 ? "a" : "b", i, state.apply(i).name().toLowerCase(Locale.ROOT)));
+    }
+    return s.append("]\n").toString();
+  }
+
+  /** The script of one gateway; it loads {@code fleet.star}. */
+  public static String text(Day day, int gateway) throws IOException {
+    try (InputStream in = DaySettings.class.getResourceAsStream("/hollyslip/example.star")) {
+      String example = new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("\"gateway-a\"",
+          "\"gateway-" + gateway + "\"")
+          .replace("\"run\"", "\"run-" + gateway + "\"")
+          .replace("\"state\"", "\"state-" + gateway + "\"")
+          .replace("index = 0,", "index = " + gateway + ",")
+          .replace("hosts = 1,", "hosts = " + day.gateways() + ", cores = " + day.lanes() + ",");
+      return day.example() ? example : example.substring(0, example.indexOf("# Plans:")) + own(day);
+    }
+  }
+
+  private static String own(Day day) {
+    StringBuilder s = new StringBuilder();
+    day.plans().forEach((name, f) -> {
+      s.append("plan(\"").append(name).append('"');
+      f.forEach((k, v) -> s.append(", ").append(k.replace('-', '_')).append(" = ").append(v));
+      s.append(")\n");
+    });
+    s.append("for name, port, zone, shard, state in NODES:\n"
+        + "    node(name, port = port, zone = zone, shard = shard, state = state)\n");
+    int at = 0;
+    for (Day.Load v : day.volumes()) {
+      s.append(String.format(
+          "volume(\"%s\", tenant = \"%s\", plan = \"%s\", size = %d * MiB, extent = 256 * KiB, shards = "
+              + "[row[3] for row in NODES], at = %d * MiB)%n", v.volume(), v.volume(), v.plan(), v.sizeMib(),
+          at));
+      at += v.sizeMib() / day.nodes().count() + 1;
+    }
+    return s.toString();
+  }
+
+  /** What the audit goes by. {@code slackUs}: how much later than promised an answer may reach its client;
+   * {@code skewUs}: how far the clocks of the two ends of a request may lie apart. */
+  public static Figures figures(Deployment d, long slackUs, long skewUs) {
+    Map<String, Figures.Limit> limits = new HashMap<>();
+    List<Figures.Area> areas = new ArrayList<>();
+    d.volumes().forEach(v -> {
+      d.plans()
+          .stream()
+          .filter(p -> p.name().equals(v.plan()) && p.limit() > 0)
+          .forEach(p -> limits.put(v.name(), new Figures.Limit(p.limit(), p.limitBurst(), p.limitSlack())));
+      for (int i = 0; i < v.extents().size(); i++) {
+        var e = v.extents().get(i);
+        areas.add(new Figures.Area(v.name(), "shard-" + e.shard(), e.offset(), e.offset() + v.extentBytes()));
+      }
+    });
+    var r = d.rules();
+    return new Figures(r.answerSlackUs() + slackUs, r.drainGraceUs(), r.orderSettleUs(), d.store()
+        .coldUnits(), r.coldFrom(), r.coldUs(), r.fallUs(), r.budgetFree(), r.budgetShare(), r
+            .budgetWindowUs(), skewUs, d.volumes().get(0).extentBytes(), d.gateway().unitBytes(), d.store()
+                .mostUnits(), limits, areas);
+  }
+}
--- a/src/main/java/hollyslip/standin/DiskServer.java
+++ b/src/main/java/hollyslip/standin/DiskServer.java
@@ -60,8 +60,8 @@
 
     /** One with cores, a queue and a mean time a command. */
     public static Config timed(String name, long shardBytes, int cores, int queue, long baseUs, long seed) {
-      return new Config(name, shardBytes, new ServiceModel.Config(cores, queue, baseUs, 0, 0.3, 0.2,
-          5_000_000, 0, 0), seed, 3_600_000_000L, true, true);
+      return new Config(name, shardBytes, ServiceModel.timed(cores, queue, baseUs), seed, 3_600_000_000L,
+          true, true);
     }
   }
 
--- a/src/main/java/hollyslip/standin/ServiceModel.java
+++ b/src/main/java/hollyslip/standin/ServiceModel.java
@@ -5,7 +5,7 @@
 /** How long a disk server takes: cores that serve one command each, a queue with a bound in turn of arrival,
  * a cold start, pauses and a factor for slow days. Free of I/O and clock; drawn from a seed. Not safe for
  * several threads. */
-final class ServiceModel {
+public final class ServiceModel {
   /** What it is built from.
    *
    * @param cores
@@ -26,9 +26,16 @@
    *          between two pauses, us; 0: none
    * @param pauseUs
    *          length of a pause, us */
-  record Config(int cores, int queue, long baseUs, long perKibUs, double spread, double coldFrom, long coldUs,
+  public record Config(int cores, int queue, long baseUs, long perKibUs, double spread, double coldFrom,
+      long coldUs,
       long pauseEveryUs, long pauseUs) {
-    static final Config PLAIN = new Config(0, Integer.MAX_VALUE, 0, 0, 0, 1, 0, 0, 0);
+    public static final Config PLAIN = new Config(0, Integer.MAX_VALUE, 0, 0, 0, 1, 0, 0, 0);
+  }
+
+  /** A timed server's: cores that take {@code baseUs} a command, give or take three tenths, a fifth of the
+   * speed at a start and all of it after five seconds. */
+  public static Config timed(int cores, int queue, long baseUs) {
+    return new Config(cores, queue, baseUs, 0, 0.3, 0.2, 5_000_000, 0, 0);
   }
 
   private final Config config;
@@ -38,7 +45,7 @@
   private double slow = 1;
   private long stalledUntil;
 
-  ServiceModel(Config config, long seed, long bornUs) {
+  public ServiceModel(Config config, long seed, long bornUs) {
     this.config = config;
     this.random = new SplittableRandom(seed);
     this.bornUs = bornUs;
@@ -49,18 +56,18 @@
     return config.cores() == 0 && stalledUntil == 0 && slow == 1;
   }
 
-  void slow(double factor) {
+  public void slow(double factor) {
     slow = factor;
   }
 
   /** Serves nothing until then. */
-  void stall(long until) {
+  public void stall(long until) {
     stalledUntil = until;
   }
 
   /** When a command of so many bytes that comes now is done, or -1: the queue is full. {@code held}: those
    * that it holds already. */
-  long doneAt(long now, long bytes, int held, double heavyPart, double heavyFactor) {
+  public long doneAt(long now, long bytes, int held, double heavyPart, double heavyFactor) {
     if (config.cores() > 0 && held >= config.cores() + config.queue()) {
       return -1;
     }
--- /dev/null
+++ b/src/test/java/hollyslip/emulator/WorldTest.java
@@ -0,0 +1,95 @@
+package hollyslip.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hollyslip.audit.Asked;
+import hollyslip.load.Day;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** The emulator: repeatable, as hard as it says, and under the same audit as runs over sockets. */
+class WorldTest {
+  private static final String SITE = """
+      day %s
+      seed %d
+      gateways 2
+      nodes count 4 cores 4 queue 64 base-us 1000
+      plan gold rate 400 reserve 200 weight 4
+      plan plain rate 200 reserve 50 weight 1 limit 300 limit-burst 60 limit-slack 16
+      volume orders plan gold rate 300 reads 0.6 most-blocks 4 depth 64
+      volume returns plan plain rate 100 reads 0.5 most-blocks 2 depth 64
+      """;
+
+  private static Day day(String seconds, long seed, String... troubles) {
+    return Day.parse(SITE.formatted(seconds, seed) + String.join("\n", troubles));
+  }
+
+  private static String figures(Outcome o) {
+    return o.happenings() + " " + o.all().asked() + " " + o.all().inAim() + " " + o.all()
+        .latency()
+        .getValueAtPercentile(99.9) + " " + o.audit().checked();
+  }
+
+  @Test
+  void equalDaysGiveEqualRunsWhateverThreadsRunThem() {
+    Day day = day("6", 3, "at 1 stall part 0.5 for 1", "at 2 gateway-crash for 1",
+        "at 4 answer-lost part 0.5 size 0.2 for 1");
+    List<String> runs = LongStream.range(0, 4).parallel().mapToObj(i -> figures(World.play(day))).toList();
+    assertEquals(1, runs.stream().distinct().count(), runs::toString);
+    assertNotEquals(runs.get(0), figures(World.play(day.with(4))));
+  }
+
+  @Test
+  void aQuietDayServesAllInAFewServiceTimes() {
+    Outcome o = World.play(day("10", 1));
+    assertTrue(o.audit().kept(), () -> o.audit().breaches().toString());
+    assertEquals(o.all().asked(), o.all().count(Asked.Answer.SERVED));
+    // A core takes 0.7 to 1.3 ms, the network 40 us each way.
+    long p50 = o.all().latency().getValueAtPercentile(50);
+    assertTrue(p50 > 1_000 && p50 < 2_000, "p50 of " + p50 + " us");
+  }
+
+  /** What fell due while all stood still is late by the rest of the stall, none of it left out. */
+  @Test
+  void aStallShowsInTheTail() {
+    Outcome o = World.play(day("10", 1, "at 4 stall part 1 for 1"));
+    assertTrue(o.audit().kept(), () -> o.audit().breaches().toString());
+    // What falls due in a second is a tenth of all; at least half of it is 500 ms late.
+    double late = 1 - o.all().latency().getPercentileAtOrBelowValue(500_000) / 100;
+    double refused = (double) o.all().count(Asked.Answer.REFUSED) / o.all().asked();
+    assertTrue(late + refused > 0.045 && late + refused < 0.18, late + " late, " + refused + " refused");
+  }
+
+  @Test
+  void aBadDayOfEveryKindKeepsTheRules() {
+    StringBuilder all = new StringBuilder();
+    double at = 1;
+    for (String kind : new java.util.TreeSet<>(Day.KINDS)) {
+      all.append("at ")
+          .append(at)
+          .append(' ')
+          .append(kind)
+          .append(
+              Day.AT_LOAD.contains(kind) ? " target orders for 1 size 3\n" : " part 0.5 for 1 size 0.3\n");
+      at += 0.7;
+    }
+    Outcome o = World.play(day("20", 5, all.toString()));
+    assertTrue(o.audit().kept(), () -> o.audit().breaches().toString());
+    assertTrue(o.audit().checked().values().stream().filter(n -> n > 0).count() >= 6, () -> o.audit()
+        .checked()
+        .toString());
+  }
+
+  /** What is sent while the network is cut arrives when it is whole; requests in between have their answer in
+   * time all the same. */
+  @Test
+  void aCutNetworkCostsNoRule() {
+    Outcome o = World.play(day("12", 2, "at 3 partition part 1 size 1 for 4"));
+    assertTrue(o.audit().kept(), () -> o.audit().breaches().toString());
+    assertTrue(o.all().count(Asked.Answer.SERVED) > o.all().asked() / 2);
+    assertTrue(o.all().count(Asked.Answer.SERVED) < o.all().asked());
+  }
+}
