A stall is forgotten as soon as it is over; the audit goes by when things were sent

Emulated, a second in which all nodes stand still held requests back for 1.2 s more: latencies of a second were taken as they came and faded over half a second at least. An answer says no more of a wait now than silence does, and the estimate fades over a quarter at least.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -39,13 +39,15 @@
   /** The latency estimate of a node fades toward the usual one in so many mean gaps between this host's
    * requests for it, in these bounds, us: hosts that make up much of its queue look again soon, one of a
    * hundred now and then, so that together they do not fill it while they look. */
-  static final double FADE_ASKS = 6, FADE_LEAST = 500_000, FADE_MOST = 2_000_000;
+  static final double FADE_ASKS = 6, FADE_LEAST = 250_000, FADE_MOST = 2_000_000;
 
   /** Moves of the usual latency at a faster and at a slower answer of any node: a quarter come to be
    * faster. */
   static final double USUAL_DOWN = 0.97, USUAL_UP = 1.01;
 
-  /** What silence or a full queue says at most of a latency, in shortest aims: enough to hold what is due. */
+  /** What silence, a full queue or an answer says at most of a latency, in shortest aims: enough to hold what
+   * is due. Guards against a stall of seconds that holds requests back for seconds more, until so large an
+   * estimate has faded. Harm: of a longer queue a host forgets sooner. */
   static final double UNSEEN = 2;
 
   /** A safe attempt sent in time is given up this part of its aim after it: nodes that drop what is given up
@@ -428,7 +430,7 @@
       if (silent) {
         silenceMeant(tookUs < shortestAim / 2);
       }
-      see(tookUs);
+      see(Math.min(tookUs, UNSEEN * shortestAim));
       usual *= tookUs < usual ? USUAL_DOWN : USUAL_UP;
       if (refused >= DOWN_AFTER) {
         restart(now);
--- a/src/main/java/hollyslip/emulator/Disk.java
+++ b/src/main/java/hollyslip/emulator/Disk.java
@@ -136,7 +136,7 @@
 
   private void note(Flight f, long done, Command.Result result) {
     log.add(new Command(name, boot, f.link.process(), f.link.serial, f.cookie, f.export, f.kind, f.offset,
-        f.length, f.receivedUs, done, f.mark, result));
+        f.length, f.receivedUs, done, f.mark, result, f.sentUs));
   }
 
   /** What reached it, once the run is over. */
--- a/src/main/java/hollyslip/emulator/Flight.java
+++ b/src/main/java/hollyslip/emulator/Flight.java
@@ -17,9 +17,8 @@
   final String export;
   /** What a write writes: a number of its own stands for the bytes. */
   final long mark;
-  long receivedUs;
-  /** Whether its first byte has left. */
-  boolean sent;
+  /** When its first byte left, and when the node had it. */
+  long sentUs, receivedUs;
   /** Whether the engine has heard what came of it. */
   boolean told;
   /** Whether the engine has given it up. */
--- a/src/main/java/hollyslip/emulator/Link.java
+++ b/src/main/java/hollyslip/emulator/Link.java
@@ -97,7 +97,7 @@
   }
 
   private void transmit(Flight f) {
-    f.sent = true;
+    f.sentUs = time.now();
     sent.add(f);
     toDisk(() -> disk.receive(f));
   }
