--- a/src/main/java/hollyslip/audit/Auditor.java
+++ b/src/main/java/hollyslip/audit/Auditor.java
@@ -130,7 +130,7 @@
         breach(Rule.NO_EFFECT_TWICE, name(a) + " was refused though it had its effect at " + effects.get(0)
             .node());
       }
-      if (a.answer() == Asked.Answer.SERVED && effects.isEmpty() && whole(a)) {
+      if (a.answer() == Asked.Answer.SERVED && effects.isEmpty() && pieces(a) == 1) {
         breach(Rule.NO_EFFECT_TWICE, name(a) + " was served without an effect");
       }
       if (a.answers() > 0) {
@@ -142,13 +142,6 @@
     }
   }
 
-  /** Whether a request reached its node as one command: those cut in pieces have no checksum of the whole. */
-  private boolean whole(Asked a) {
-    return commands.stream()
-        .noneMatch(c -> c.kind() == Nbd.CMD_WRITE && c.length() < a.length() && c.doneUs() >= a.askedUs() && c
-            .doneUs() <= a.answeredUs());
-  }
-
   /** An effect after the answer must not land on a newer write that was answered before it. */
   private void lateEffect(Asked a, Command late) {
     for (Command newer : byNode.getOrDefault(late.node(), List.of())) {
@@ -281,15 +274,16 @@
     bySending.stream()
         .filter(c -> !c.client().isEmpty())
         .forEach(c -> byClient.computeIfAbsent(c.client(), k -> new ArrayList<>()).add(c));
-    byClient.forEach((client, sent) -> budget(client, sent));
+    Map<String, List<Asked>> byGateway = new HashMap<>();
+    asked.forEach(a -> byGateway.computeIfAbsent(a.gateway(), k -> new ArrayList<>()).add(a));
+    byClient.forEach((client, sent) -> budget(client, sent, byGateway.getOrDefault(client.substring(0, client
+        .lastIndexOf('/')), List.of())
+        .stream()
+        .flatMapToLong(a -> LongStream.generate(a::askedUs).limit(pieces(a)))
+        .toArray()));
   }
 
-  private void budget(String client, List<Command> sent) {
-    String gateway = client.substring(0, client.lastIndexOf('/'));
-    long[] asks = asked.stream()
-        .filter(a -> a.gateway().equals(gateway))
-        .flatMapToLong(a -> LongStream.generate(a::askedUs).limit(pieces(a)))
-        .toArray();
+  private void budget(String client, List<Command> sent, long[] asks) {
     Set<Long> seen = new HashSet<>();
     ArrayDeque<Long> further = new ArrayDeque<>();
     for (Command c : sent) {
@@ -312,7 +306,8 @@
     }
   }
 
-  /** Extents that a request touches: as many requests it is at the module. */
+  /** Extents that a request touches: as many requests it is at the module, and commands with bytes of their
+   * own. */
   private long pieces(Asked a) {
     return (a.offset() + Math.max(1, a.length()) - 1) / figures.extentBytes() - a.offset() / figures
         .extentBytes() + 1;
--- /dev/null
+++ b/src/main/java/hollyslip/emulator/BadDays.java
@@ -0,0 +1,176 @@
+package hollyslip.emulator;
+
+import hollyslip.audit.Auditor;
+import hollyslip.load.Day;
+import hollyslip.load.Day.Trouble;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+
+/** Looks for troubles that break a rule or cost most: draws scripts, goes on from the worst ones, and makes
+ * what breaks a rule as small as it gets. Days are played on all cores; what is found depends on the seed
+ * alone. */
+public final class BadDays {
+  private static final int MOST_TROUBLES = 6;
+  private static final double SHORTEST_S = 0.1;
+  private static final List<String> KINDS = List.copyOf(new TreeSet<>(Day.KINDS));
+
+  private final Day base;
+  private final SplittableRandom random;
+  private int played;
+
+  /** A day that was played: {@code broken} are the rules it broke, {@code inAim} what it served in time. */
+  public record Found(Day day, List<Auditor.Rule> broken, double inAim, String first) {}
+
+  /** @param base
+   *          a day, of which the troubles are drawn anew */
+  public BadDays(Day base, long seed) {
+    this.base = base;
+    random = new SplittableRandom(seed);
+  }
+
+  /** How many days were played. */
+  public int played() {
+    return played;
+  }
+
+  /** Plays {@code rounds} times {@code each} days, each round half drawn and half bred from the worst of all
+   * so far; gives all that broke a rule, and else the few that served least in time, worst first. */
+  public List<Found> search(int rounds, int each) {
+    List<Found> all = new ArrayList<>();
+    for (int r = 0; r < rounds; r++) {
+      List<Day> days = new ArrayList<>();
+      for (int i = 0; i < each; i++) {
+        boolean bred = !all.isEmpty() && i % 2 == 0;
+        days.add(base.with(random.nextLong(1L << 40))
+            .with(bred
+                ? varied(all.get(random.nextInt(Math.min(each, all.size()))).day().troubles())
+                : drawn()));
+      }
+      all.addAll(IntStream.range(0, each).parallel().mapToObj(i -> play(days.get(i))).toList());
+      played += each;
+      all.sort(Comparator.comparingInt((Found f) -> f.broken().isEmpty() ? 1 : 0)
+          .thenComparingDouble(Found::inAim));
+    }
+    return all;
+  }
+
+  private static Found play(Day day) {
+    Outcome o = World.play(day);
+    return new Found(day, o.audit()
+        .breaches()
+        .stream()
+        .map(Auditor.Breach::rule)
+        .distinct()
+        .sorted()
+        .toList(), o
+            .all()
+            .inAim(), o.audit().breaches().isEmpty() ? "" : o.audit().breaches().get(0).toString());
+  }
+
+  /** The smallest day that still breaks the first rule which {@code found} broke: with troubles left out,
+   * made shorter and struck less, and a shorter load, as long as it does. */
+  public Found shrink(Found found) {
+    Auditor.Rule rule = found.broken().get(0);
+    Found[] smallest = {found};
+    Predicate<Day> breaks = day -> {
+      Found f = play(day);
+      played++;
+      boolean still = f.broken().contains(rule);
+      smallest[0] = still ? f : smallest[0];
+      return still;
+    };
+    for (boolean smaller = true; smaller;) {
+      Optional<Day> next = simpler(smallest[0].day()).stream().filter(breaks).findFirst();
+      smaller = next.isPresent();
+    }
+    return smallest[0];
+  }
+
+  /** Every day that is one step simpler, the largest steps first. */
+  static List<Day> simpler(Day day) {
+    List<Day> all = new ArrayList<>();
+    List<Trouble> t = day.troubles();
+    for (int i = 0; i < t.size(); i++) {
+      List<Trouble> fewer = new ArrayList<>(t);
+      fewer.remove(i);
+      all.add(day.with(fewer));
+    }
+    double last = t.stream().mapToDouble(x -> x.at() + x.seconds()).max().orElse(0);
+    for (double s : new double[]{day.seconds() / 2, day.seconds() * 0.8}) {
+      if (s >= 1 && s >= last) {
+        all.add(day.lasting(s));
+      }
+    }
+    for (int i = 0; i < t.size(); i++) {
+      Trouble x = t.get(i);
+      if (x.seconds() >= 2 * SHORTEST_S) {
+        all.add(day.with(replaced(t, i, new Trouble(x.at(), x.kind(), x.target(), half(x.seconds()), x.part(),
+            x
+                .size()))));
+      }
+      if (x.part() > 0.05) {
+        all.add(day.with(replaced(t, i, new Trouble(x.at(), x.kind(), x.target(), x.seconds(), half(x.part()),
+            x
+                .size()))));
+      }
+    }
+    return all;
+  }
+
+  private static double half(double x) {
+    return Math.round(x * 500) / 1_000.0;
+  }
+
+  private static List<Trouble> replaced(List<Trouble> all, int i, Trouble by) {
+    List<Trouble> next = new ArrayList<>(all);
+    next.set(i, by);
+    return next;
+  }
+
+  private List<Trouble> drawn() {
+    return IntStream.rangeClosed(0, random.nextInt(MOST_TROUBLES)).mapToObj(i -> trouble()).toList();
+  }
+
+  /** One trouble changed, one more or one less. */
+  private List<Trouble> varied(List<Trouble> of) {
+    List<Trouble> next = new ArrayList<>(of);
+    int step = random.nextInt(3);
+    if (step == 0 && next.size() > 1) {
+      next.remove(random.nextInt(next.size()));
+    } else if (step == 1 && next.size() < 2 * MOST_TROUBLES) {
+      next.add(trouble());
+    } else {
+      next.set(random.nextInt(next.size()), trouble());
+    }
+    return next;
+  }
+
+  private Trouble trouble() {
+    String kind = KINDS.get(random.nextInt(KINDS.size()));
+    double at = tenth(random.nextDouble(base.seconds() * 0.8));
+    double lasts = Math.max(SHORTEST_S, tenth(random.nextDouble(base.seconds() / 3)));
+    double part = Math.max(0.05, tenth(random.nextDouble()));
+    double size = switch (kind) {
+      case "answer-lost", "fast-errors", "partition" -> Math.max(0.1, tenth(random.nextDouble()));
+      case "slow", "burst", "plan-burst", "volume-burst", "hot-volumes", "scan" -> 1 + tenth(random
+          .nextDouble(9));
+      case "heavy-tail" -> 1 + tenth(random.nextDouble(100));
+      case "late-write" -> Math.max(0.1, tenth(random.nextDouble(3)));
+      default -> 1;
+    };
+    List<Day.Load> v = base.volumes();
+    return new Trouble(at, kind, Day.AT_LOAD.contains(kind) ? v.get(random.nextInt(v.size())).volume() : "",
+        lasts,
+        part, size);
+  }
+
+  private static double tenth(double x) {
+    return Math.round(x * 10) / 10.0;
+  }
+}
--- a/src/main/java/hollyslip/emulator/Caller.java
+++ b/src/main/java/hollyslip/emulator/Caller.java
@@ -45,6 +45,8 @@
     long askedUs, deadlineUs;
     Io io;
     private boolean taken, over, left;
+    /** Whether a process that was killed had taken it. */
+    private boolean begun;
 
     Ask(IoKind kind, long offset, long length) {
       id = ++number;
@@ -60,7 +62,7 @@
       List<ByteBuffer> data = kind.changes()
           ? List.of(ByteBuffer.allocate(Long.BYTES).putLong(0, mark))
           : List.of();
-      Io mine = new Io(load.volume(), kind, offset, length, data, 0, this);
+      Io mine = new Io(load.volume(), kind, offset, length, data, 0, this, begun);
       io = mine;
       out.add(this);
       site.offer(mine, room -> {
@@ -70,8 +72,8 @@
           deadlineUs = askedUs + rules.deadlineUs();
         } else {
           out.remove(this);
-          backlog.addFirst(this);
           blocked = true;
+          keep(this);
         }
       });
     }
@@ -133,9 +135,11 @@
     }
   }
 
-  /** Asks nothing new from now on. */
+  /** Asks nothing new from now on, nor what still waits with it. */
   void end() {
     ended = true;
+    world.never(load.plan(), backlog.size());
+    backlog.clear();
   }
 
   void speed(double factor) {
@@ -179,8 +183,17 @@
     List<Ask> again = new ArrayList<>(out);
     out.clear();
     for (int i = again.size() - 1; i >= 0; i--) {
+      again.get(i).begun |= again.get(i).taken;
       again.get(i).taken = false;
-      backlog.addFirst(again.get(i));
+      keep(again.get(i));
+    }
+  }
+
+  private void keep(Ask ask) {
+    if (ended) {
+      world.never(load.plan(), 1);
+    } else {
+      backlog.addFirst(ask);
     }
   }
 
@@ -204,6 +217,6 @@
         a.note(0, Asked.Answer.NONE, false);
       }
     });
-    world.never(load.plan(), backlog.size() + out.stream().filter(a -> !a.taken).count());
+    world.never(load.plan(), out.stream().filter(a -> !a.taken).count());
   }
 }
--- a/src/main/java/hollyslip/emulator/World.java
+++ b/src/main/java/hollyslip/emulator/World.java
@@ -250,7 +250,7 @@
       case "drain" -> nodes(t, d -> list(d, NodeState.DRAINING), d -> list(d, NodeState.ON));
       case "preempt" -> nodes(t, d -> {
         list(d, NodeState.DRAINING);
-        time.in(2_000_000, d::kill);
+        time.in((long) (1e6 * t.preemptedAfter()), d::kill);
       }, d -> {
         restart(d);
         list(d, NodeState.ON);
--- a/src/main/java/hollyslip/engine/Answer.java
+++ b/src/main/java/hollyslip/engine/Answer.java
@@ -14,7 +14,7 @@
   }
 
   static final Answer SERVED = new Answer(Kind.SERVED, 0);
-  static final Answer FAILED = new Answer(Kind.FAILED, 0);
+  public static final Answer FAILED = new Answer(Kind.FAILED, 0);
 
   /** A refusal. */
   public static Answer refused(long retryInUs) {
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -478,10 +478,7 @@
 
   /** Refuses a request that has not been let in: nothing of it ran. */
   private void turnAway(Operation op, long retryInUs) {
-    op.answered = true;
-    refused.increment();
-    sample(refusals, "request.refused", op);
-    op.io.client().answered(Answer.refused(retryInUs));
+    answer(op, Answer.refused(retryInUs));
     free(op);
   }
 
@@ -711,18 +708,23 @@
       unlock(piece);
     }
     if (!op.answered && op.verdict.pieces() == op.pieces.size()) {
-      op.answered = true;
-      Answer all = op.verdict.answer();
-      switch (all.kind()) {
-        case SERVED -> served.increment();
-        case REFUSED -> { refused.increment(); sample(refusals, "request.refused", op); }
-        case FAILED -> { failed.increment(); sample(failures, "request.failed", op); }
-      }
-      op.io.client().answered(all);
+      answer(op, op.verdict.answer());
     }
     free(piece);
   }
 
+  /** Gives the client its one answer. */
+  private void answer(Operation op, Answer all) {
+    Answer honest = op.honest(all);
+    op.answered = true;
+    switch (honest.kind()) {
+      case SERVED -> served.increment();
+      case REFUSED -> { refused.increment(); sample(refusals, "request.refused", op); }
+      case FAILED -> { failed.increment(); sample(failures, "request.failed", op); }
+    }
+    op.io.client().answered(honest);
+  }
+
   private void sample(Sampler sampler, String event, Operation op) {
     long facts = sampler.admit(now);
     if (facts > 0) {
--- a/src/main/java/hollyslip/engine/Io.java
+++ b/src/main/java/hollyslip/engine/Io.java
@@ -28,6 +28,7 @@
   private final List<ByteBuffer> data;
   private final long remainingUs;
   private final Client client;
+  private final boolean resumed;
   /** What the engine makes of it once it is taken. */
   volatile Operation operation;
 
@@ -47,6 +48,15 @@
    *          who hears of the end */
   public Io(String volume, IoKind kind, long offset, long length, List<ByteBuffer> data, long remainingUs,
       Client client) {
+    this(volume, kind, offset, length, data, remainingUs, client, false);
+  }
+
+  /** @param resumed
+   *          a gateway process before this one had taken it and may have begun it: of a change nobody can say
+   *          then that trying again is harmless */
+  public Io(String volume, IoKind kind, long offset, long length, List<ByteBuffer> data, long remainingUs,
+      Client client, boolean resumed) {
+    this.resumed = resumed;
     this.volume = volume;
     this.kind = kind;
     this.offset = offset;
@@ -84,6 +94,11 @@
     return client;
   }
 
+  /** Whether a process before may have begun it. */
+  public boolean resumed() {
+    return resumed;
+  }
+
   /** Bytes of data that are held for it. */
   long held() {
     return kind.carriesData() ? length : 0;
--- a/src/main/java/hollyslip/engine/Operation.java
+++ b/src/main/java/hollyslip/engine/Operation.java
@@ -39,6 +39,14 @@
     verdict = new Verdict(rules == null || rules.effect() == HostScheduler.Effect.SAFE);
   }
 
+  /** What the client may be told for such an answer. Guards against "refused", which says that trying again
+   * is harmless, of a change that a process before this one may have done. Harm: a change that never ran is
+   * answered as failed. */
+  Answer honest(Answer answer) {
+    boolean unsure = io.resumed() && rules != null && rules.effect() != HostScheduler.Effect.SAFE;
+    return unsure && answer.kind() == Answer.Kind.REFUSED ? Answer.FAILED : answer;
+  }
+
   Engine engine() {
     return engine;
   }
--- a/src/main/java/hollyslip/front/vhost/Requests.java
+++ b/src/main/java/hollyslip/front/vhost/Requests.java
@@ -43,13 +43,13 @@
     final Io io;
     volatile Answer answer;
 
-    Taken(Ring ring, Virtqueue.Chain chain, BlockRequest request) {
+    Taken(Ring ring, Virtqueue.Chain chain, BlockRequest request, boolean resumed) {
       this.ring = ring;
       this.head = chain.head;
       this.request = request;
       this.regions = chain.regions;
       io = new Io(volume.get().name(), request.kind(), request.offset(), request.length(), request.data(), 0,
-          this);
+          this, resumed);
       regions.forEach(GuestMemory.Region::hold);
     }
 
@@ -118,7 +118,8 @@
     }
     int n = 0;
     while (n < TURN && takes(r)) {
-      int head = !r.again.isEmpty() ? r.again.poll() : r == messages.draining() ? -1 : r.queue.pop();
+      boolean resumed = !r.again.isEmpty();
+      int head = resumed ? r.again.poll() : r == messages.draining() ? -1 : r.queue.pop();
       if (head < 0) {
         break;
       }
@@ -129,7 +130,7 @@
         atOnce(r, head, request);
         continue;
       }
-      Taken t = new Taken(r, chain, request);
+      Taken t = new Taken(r, chain, request, resumed);
       flight.add(t);
       if (!offer(t)) {
         r.blocked = t;
@@ -143,7 +144,7 @@
     try {
       return engine.offer(t.io);
     } catch (IllegalArgumentException e) {
-      t.answered(Answer.refused(0));
+      t.answered(t.io.resumed() && t.io.kind().changes() ? Answer.FAILED : Answer.refused(0));
       t.released();
       return true;
     }
--- a/src/main/java/hollyslip/load/Arrivals.java
+++ b/src/main/java/hollyslip/load/Arrivals.java
@@ -70,6 +70,11 @@
                   + Arrays.stream(Kind.values()).map(Shape::word).toList()));
     }
 
+    /** The word that {@link #of} knows it by. */
+    public String word() {
+      return word(kind);
+    }
+
     private static String word(Kind kind) {
       return kind.name().toLowerCase(Locale.ROOT);
     }
--- a/src/main/java/hollyslip/load/Day.java
+++ b/src/main/java/hollyslip/load/Day.java
@@ -37,7 +37,15 @@
 
   /** A volume and what its clients ask: {@code rate} requests a second over all gateways. */
   public record Load(String volume, String plan, int sizeMib, double rate, double reads, int mostBlocks,
-      int depth, int clients, Arrivals.Shape shape) {}
+      int depth, int clients, Arrivals.Shape shape) {
+    private String text() {
+      return "volume " + volume + " plan " + plan + " size-mib " + sizeMib + " rate " + rate + " reads "
+          + reads
+          + " most-blocks " + mostBlocks + " depth " + depth + " clients " + clients + " shape " + shape
+              .word()
+          + " period " + shape.periodS() + " swing " + shape.swing();
+    }
+  }
 
   /** Something that goes wrong.
    *
@@ -53,7 +61,18 @@
    *          part of the nodes or volumes struck
    * @param size
    *          how bad, as the kind says */
-  public record Trouble(double at, String kind, String target, double seconds, double part, double size) {}
+  public record Trouble(double at, String kind, String target, double seconds, double part, double size) {
+    /** How long after it was told to drain a preempted node dies, s: always before it is back. */
+    public double preemptedAfter() {
+      return Math.min(2, seconds / 2);
+    }
+
+    private String text() {
+      return "at " + at + " " + kind + (target.isEmpty() ? "" : " target " + target) + " for " + seconds
+          + " part "
+          + part + " size " + size;
+    }
+  }
 
   /** Kinds of trouble that can be played. */
   public static final Set<String> KINDS = Set.of("stall", "vanish", "hang", "fast-errors", "burst",
@@ -109,6 +128,32 @@
     }
   }
 
+  /** The day as text, which {@link #parse} reads back as an equal one. */
+  public String text() {
+    StringBuilder s = new StringBuilder();
+    s.append("day ").append(seconds).append("\nseed ").append(seed).append("\ngateways ").append(gateways);
+    s.append("\nlanes ").append(lanes).append(example ? "\nsettings example" : "");
+    s.append("\nnodes count ")
+        .append(nodes.count())
+        .append(" cores ")
+        .append(nodes.cores())
+        .append(" queue ");
+    s.append(nodes.queue())
+        .append(" base-us ")
+        .append(nodes.baseUs())
+        .append(" net-us ")
+        .append(nodes.netUs());
+    s.append(" engine-us ").append(nodes.engineUs()).append('\n');
+    plans.forEach((name, figures) -> {
+      s.append("plan ").append(name);
+      new java.util.TreeMap<>(figures).forEach((k, v) -> s.append(' ').append(k).append(' ').append(v));
+      s.append('\n');
+    });
+    volumes.forEach(v -> s.append(v.text()).append('\n'));
+    troubles.forEach(t -> s.append(t.text()).append('\n'));
+    return s.toString();
+  }
+
   /** The same day with other troubles, in order of time. */
   public Day with(List<Trouble> others) {
     List<Trouble> sorted = new ArrayList<>(others);
@@ -116,6 +161,11 @@
     return new Day(seconds, seed, gateways, lanes, example, nodes, plans, volumes, sorted);
   }
 
+  /** The same day with a load of so many seconds. */
+  public Day lasting(double s) {
+    return new Day(s, seed, gateways, lanes, example, nodes, plans, volumes, troubles);
+  }
+
   /** The same day drawn from another seed. */
   public Day with(long otherSeed) {
     return new Day(seconds, otherSeed, gateways, lanes, example, nodes, plans, volumes, troubles);
--- a/src/main/java/hollyslip/load/DayRunner.java
+++ b/src/main/java/hollyslip/load/DayRunner.java
@@ -208,7 +208,7 @@
       case "preempt" -> {
         for (DiskServer d : struck(t)) {
           at(t.at(), "preempt: " + d.name() + " drains", () -> list(d, NodeState.DRAINING));
-          at(t.at() + 2, "preempt: " + d.name() + " dies", d::kill);
+          at(t.at() + t.preemptedAfter(), "preempt: " + d.name() + " dies", d::kill);
           at(end, "preempt: " + d.name() + " is back, cold", () -> {
             restart(d);
             list(d, NodeState.ON);
--- a/src/test/java/hollyslip/emulator/WorldTest.java
+++ b/src/test/java/hollyslip/emulator/WorldTest.java
@@ -93,4 +93,14 @@
     assertTrue(o.all().count(Asked.Answer.SERVED) > o.all().asked() / 2);
     assertTrue(o.all().count(Asked.Answer.SERVED) < o.all().asked());
   }
+
+  /** Found by a search: a write that a killed gateway had sent, its answer lost, was refused by the next one,
+   * as if trying again were harmless. */
+  @Test
+  void aWriteThatAKilledGatewayMayHaveDoneIsNotRefused() {
+    Outcome o = World.play(day("10", 17, "at 3.6 answer-lost for 2.6 part 0.9 size 0.7",
+        "at 6 gateway-crash for 1.5", "at 7.4 preempt for 2 part 1"));
+    assertTrue(o.audit().kept(), () -> o.audit().breaches().toString());
+    assertTrue(o.all().count(Asked.Answer.FAILED) > 0);
+  }
 }
