--- a/src/main/java/hollyslip/load/DaySettings.java
+++ b/src/main/java/hollyslip/load/DaySettings.java
@@ -38,10 +38,21 @@
           .replace("\"state\"", "\"state-" + gateway + "\"")
           .replace("index = 0,", "index = " + gateway + ",")
           .replace("hosts = 1,", "hosts = " + day.gateways() + ", cores = " + day.lanes() + ",");
-      return day.example() ? example : example.substring(0, example.indexOf("# Plans:")) + own(day);
+      return day.example()
+          ? example
+          : example.substring(0, example.indexOf("# Plans:"))
+              .replace("cold_units = 60",
+                  "cold_units = " + coldUnits(day.nodes())) + own(day);
     }
   }
 
+  /** What a node that has just started bears within the window of the rule: the multiple at which it falls,
+   * of a fifth of its speed, a command counting as one unit at least. */
+  private static long coldUnits(Day.Nodes n) {
+    double commands = n.cores() * 1e6 / n.baseUs();
+    return (long) Math.max(1, 3 * 0.2 * 2 * commands);
+  }
+
   private static String own(Day day) {
     StringBuilder s = new StringBuilder();
     day.plans().forEach((name, f) -> {
