A load generator on a schedule: latency from when a request was due, lateness beside it

A generator late by more than 1 ms to one in a thousand says that its figures do not count. Emulator and generator draw the same requests. Tested in virtual time: a stall of 2 s shows all that fell due in it, in closed loop one request; percentiles of a constant and of a drawn delay within 0.2 and 5 percent.

--- a/src/main/java/hollyslip/emulator/Caller.java
+++ b/src/main/java/hollyslip/emulator/Caller.java
@@ -7,6 +7,7 @@
 import hollyslip.engine.Io;
 import hollyslip.load.Arrivals;
 import hollyslip.load.Day;
+import hollyslip.load.RequestMix;
 import hollyslip.node.Nbd;
 import hollyslip.volume.IoKind;
 import java.nio.ByteBuffer;
@@ -20,15 +21,12 @@
 /** A client of a volume at one gateway: asks on a schedule that does not wait for answers. What its ring has
  * no room for waits with it, and its time runs from when it was due. */
 final class Caller {
-  private static final int BLOCK = 4_096;
-
   final Day.Load load;
   private final World world;
   private final Site site;
   private final String name;
-  private final long from, bytes;
   private final Arrivals arrivals;
-  private final SplittableRandom random;
+  private final RequestMix mix;
   private final ArrayDeque<Ask> backlog = new ArrayDeque<>();
   private final Set<Ask> out = new LinkedHashSet<>();
   private double speed = 1;
@@ -116,10 +114,9 @@
     this.site = site;
     this.load = load;
     name = load.volume() + "-" + number;
-    bytes = volumeBytes / all / BLOCK * BLOCK;
-    from = number * bytes;
-    random = new SplittableRandom(seed);
-    arrivals = new Arrivals(load.shape(), load.rate() / all, random.nextLong());
+    SplittableRandom seeds = new SplittableRandom(seed);
+    mix = new RequestMix(load, number, all, volumeBytes, seeds.nextLong());
+    arrivals = new Arrivals(load.shape(), load.rate() / all, seeds.nextLong());
   }
 
   /** Begins its schedule. */
@@ -155,10 +152,8 @@
   }
 
   private void due() {
-    int blocks = (int) Math.min(1 + random.nextInt(load.mostBlocks()), bytes / BLOCK);
-    long offset = from + random.nextLong(bytes / BLOCK - blocks + 1) * BLOCK;
-    boolean read = random.nextDouble() < load.reads() || readsOnly;
-    backlog.add(new Ask(read ? IoKind.READ : IoKind.WRITE, offset, (long) blocks * BLOCK));
+    RequestMix.Ask next = mix.next(readsOnly);
+    backlog.add(new Ask(next.kind(), next.offset(), next.length()));
     pump();
   }
 
--- /dev/null
+++ b/src/main/java/hollyslip/load/LatencyLog.java
@@ -0,0 +1,103 @@
+package hollyslip.load;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.EncodableHistogram;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.HistogramLogReader;
+import org.HdrHistogram.HistogramLogWriter;
+
+/** Latencies by tag and second, kept as HdrHistogram interval logs: those of several processes merge into the
+ * figures that one would have had. Safe for several threads. */
+public final class LatencyLog {
+  private static final long MOST_US = 3_600_000_000L;
+
+  private final Map<String, TreeMap<Long, Histogram>> byTag = new TreeMap<>();
+
+  /** One latency of a request that was due in a second of the run. */
+  public synchronized void add(String tag, long second, long us) {
+    at(tag, second).recordValue(Math.max(0, Math.min(us, MOST_US)));
+  }
+
+  private Histogram at(String tag, long second) {
+    return byTag.computeIfAbsent(tag, k -> new TreeMap<>())
+        .computeIfAbsent(second, k -> new Histogram(MOST_US, 3));
+  }
+
+  /** Adds all that another holds. */
+  public synchronized void add(LatencyLog other) {
+    other.byTag.forEach((tag, seconds) -> seconds.forEach((s, h) -> at(tag, s).add(h)));
+  }
+
+  /** All seconds of a tag as one; null: there is none. */
+  public synchronized Histogram all(String tag) {
+    TreeMap<Long, Histogram> seconds = byTag.get(tag);
+    if (seconds == null) {
+      return null;
+    }
+    Histogram sum = new Histogram(MOST_US, 3);
+    seconds.values().forEach(sum::add);
+    return sum;
+  }
+
+  /** Tags, sorted. */
+  public synchronized List<String> tags() {
+    return List.copyOf(byTag.keySet());
+  }
+
+  /** By second of the run. */
+  public synchronized Map<Long, Histogram> seconds(String tag) {
+    return new TreeMap<>(byTag.getOrDefault(tag, new TreeMap<>()));
+  }
+
+  /** Writes it in the format of HdrHistogram's log, version 1.3; a tag's seconds become intervals. */
+  public synchronized void write(Path file) throws IOException {
+    try (PrintStream out = new PrintStream(Files.newOutputStream(file), false,
+        java.nio.charset.StandardCharsets.UTF_8)) {
+      HistogramLogWriter w = new HistogramLogWriter(out);
+      w.outputComment("hollyslip load: us from when a request was due to its answer, by second of the run");
+      w.outputLogFormatVersion();
+      w.outputBaseTime(0);
+      w.outputLegend();
+      byTag.forEach((tag, seconds) -> seconds.forEach((s, h) -> {
+        Histogram copy = h.copy();
+        copy.setTag(tag);
+        copy.setStartTimeStamp(s * 1_000);
+        copy.setEndTimeStamp((s + 1) * 1_000);
+        w.outputIntervalHistogram(copy);
+      }));
+    }
+  }
+
+  /** Reads one.
+   *
+   * @throws IOException
+   *           it cannot be read; names the file and the interval */
+  public static LatencyLog read(Path file) throws IOException {
+    LatencyLog log = new LatencyLog();
+    int n = 0;
+    try (InputStream in = Files.newInputStream(file)) {
+      HistogramLogReader r = new HistogramLogReader(in);
+      while (r.hasNext()) {
+        n++;
+        EncodableHistogram e = r.nextIntervalHistogram();
+        if (!(e instanceof Histogram h)) {
+          throw new IOException(file + ": interval " + n + " is no histogram of integers");
+        }
+        log.at(h.getTag() == null ? "" : h.getTag(), h.getStartTimeStamp() / 1_000).add(h);
+      }
+    } catch (RuntimeException e) {
+      throw new IOException(file + ": interval " + (n + 1) + ": " + e.getMessage(), e);
+    }
+    if (n == 0) {
+      throw new IOException(file + ": holds no interval");
+    }
+    return log;
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/load/LoadRun.java
@@ -0,0 +1,128 @@
+package hollyslip.load;
+
+import hollyslip.engine.Engine;
+import hollyslip.volume.IoKind;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.Histogram;
+
+/** The clients of a {@link Day} against gateways that run, on schedules that do not wait; a thread a client.
+ * Several processes share a day: each plays every so many-th client of one schedule. */
+public final class LoadRun {
+  /** What a run is.
+   *
+   * @param sockets
+   *          folder of the volumes' sockets, one a gateway
+   * @param process
+   *          number of this process among {@code processes}
+   * @param startUs
+   *          when the schedule begins, on the machine's monotonic clock
+   * @param latenessUs
+   *          generators that come later than this to one in a thousand make the run not valid */
+  public record Config(Day day, List<Path> sockets, int process, int processes, long startUs, boolean closed,
+      long latenessUs) {}
+
+  /** What came of it; {@code lateness} over all clients. */
+  public record Result(LatencyLog log, Map<OpenLoop.End, Long> ends, Histogram lateness, long due,
+      long answered,
+      long waited, boolean valid) {}
+
+  private final Config config;
+  private final LatencyLog log = new LatencyLog();
+  private final Map<OpenLoop.End, AtomicLong> ends = new EnumMap<>(OpenLoop.End.class);
+  private final List<Client> clients = new ArrayList<>();
+
+  private final class Client implements Runnable {
+    final OpenLoop loop;
+    final RingTarget target;
+    OpenLoop.Ran ran;
+    /** Its own, merged at the end: threads that wait for one another would be late. */
+    final LatencyLog mine = new LatencyLog();
+
+    Client(Day.Load v, int number, int all, long seed) throws IOException {
+      Path socket = config.sockets().get(number % config.sockets().size()).resolve(v.volume() + ".sock");
+      target = new RingTarget(socket, v.depth(), v.mostBlocks() * 4_096);
+      SplittableRandom seeds = new SplittableRandom(seed);
+      RequestMix mix = new RequestMix(v, number, all, (long) v.sizeMib() << 20, seeds.nextLong());
+      Arrivals arrivals = new Arrivals(v.shape(), v.rate() / all, seeds.nextLong());
+      loop = new OpenLoop(arrivals, mix, target, config.closed(), d -> {
+        ends.get(d.end()).incrementAndGet();
+        if (d.end() == OpenLoop.End.SERVED) {
+          mine.add(v.plan() + "." + (d.ask().kind() == IoKind.READ ? "read" : "write"), (d.dueUs() - config
+              .startUs()) / 1_000_000, d.tookUs());
+        }
+      });
+    }
+
+    @Override
+    public void run() {
+      ran = loop.run(config.startUs(), (long) (config.day().seconds() * 1e6));
+      log.add(mine);
+      target.close();
+    }
+  }
+
+  public LoadRun(Config config) throws IOException {
+    this.config = config;
+    for (OpenLoop.End e : OpenLoop.End.values()) {
+      ends.put(e, new AtomicLong());
+    }
+    SplittableRandom random = new SplittableRandom(config.day().seed());
+    int n = 0;
+    for (Day.Load v : config.day().volumes()) {
+      int all = v.clients() * config.sockets().size();
+      for (int c = 0; c < all; c++) {
+        long seed = random.nextLong();
+        if (n++ % config.processes() == config.process()) {
+          clients.add(new Client(v, c, all, seed));
+        }
+      }
+    }
+  }
+
+  /** Requests answered so far. */
+  public long answered() {
+    return ends.values().stream().mapToLong(AtomicLong::get).sum();
+  }
+
+  /** Ends the schedule early; {@link #run} returns with what there is. */
+  public void stop() {
+    clients.forEach(c -> c.loop.stop());
+  }
+
+  /** Plays it; returns after the last answer. */
+  public Result run() throws InterruptedException {
+    List<Thread> threads = clients.stream().map(c -> new Thread(c, "load")).toList();
+    threads.forEach(Thread::start);
+    for (Thread t : threads) {
+      t.join();
+    }
+    Histogram lateness = new Histogram(60_000_000L, 3);
+    long due = 0, got = 0, waited = 0;
+    for (Client c : clients) {
+      if (c.ran == null) {
+        throw new IllegalStateException("a client ended with a fault; see the log");
+      }
+      lateness.add(c.ran.lateness());
+      due += c.ran.due();
+      got += c.ran.answered();
+      waited += c.ran.waited();
+    }
+    Map<OpenLoop.End, Long> counted = new EnumMap<>(OpenLoop.End.class);
+    ends.forEach((e, count) -> counted.put(e, count.get()));
+    return new Result(log, counted, lateness, due, got, waited, new OpenLoop.Ran(due, got, lateness, waited)
+        .valid(
+            config.latenessUs()));
+  }
+
+  /** A start soon enough for all clients to be there. */
+  public static long soon() {
+    return Engine.clock() + 200_000;
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/load/RingTarget.java
@@ -0,0 +1,92 @@
+package hollyslip.load;
+
+import hollyslip.engine.Engine;
+import hollyslip.volume.IoKind;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.concurrent.locks.LockSupport;
+
+/** A gateway's ring as a target of load. A connection that breaks is made again; what was out is lost to the
+ * client, as its ring is. */
+final class RingTarget implements OpenLoop.Target, AutoCloseable {
+  /** From so near to the due time on, us, the thread looks at the clock without sleeping. */
+  private static final long SPIN_US = 1_500;
+
+  private final RingClient client;
+  private final Path socket;
+  private final int depth;
+  private final ByteBuffer scratch;
+  private int out;
+  private long marks;
+
+  RingTarget(Path socket, int depth, int mostBytes) throws IOException {
+    this.socket = socket;
+    this.depth = depth;
+    int size = Integer.highestOneBit(Math.max(4, depth * 2 - 1));
+    client = new RingClient(RingClient.Options.usual(1, size, mostBytes));
+    scratch = ByteBuffer.allocate(mostBytes);
+    client.connect(socket);
+  }
+
+  @Override
+  public boolean submit(OpenLoop.Shot s) {
+    if (out >= depth) {
+      return false;
+    }
+    boolean write = s.ask.kind() == IoKind.WRITE;
+    if (write) {
+      scratch.clear();
+      scratch.putLong(0, ++marks);
+    }
+    boolean in = client.submit(0, s.ask.kind(), s.ask.offset(), s.ask.length(), write ? scratch : null, (
+        status,
+        retryMs, data) -> {
+      out--;
+      s.answered(status == 0
+          ? OpenLoop.End.SERVED
+          : status == 0x80 ? OpenLoop.End.REFUSED : OpenLoop.End.FAILED);
+    });
+    out += in ? 1 : 0;
+    return in;
+  }
+
+  @Override
+  public void flush() {
+    client.kick();
+  }
+
+  @Override
+  public int poll() {
+    return client.poll();
+  }
+
+  @Override
+  public void idle(long untilUs) {
+    long left = untilUs - now();
+    if (left > SPIN_US && !client.await((int) Math.min(100, (left - SPIN_US + 999) / 1_000))) {
+      reconnect();
+    } else {
+      Thread.onSpinWait();
+    }
+  }
+
+  private void reconnect() {
+    client.detach();
+    try {
+      client.connect(socket);
+    } catch (IOException e) {
+      LockSupport.parkNanos(10_000_000);
+    }
+  }
+
+  @Override
+  public long now() {
+    return Engine.clock();
+  }
+
+  @Override
+  public void close() {
+    client.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/load/OpenLoopTest.java
@@ -0,0 +1,187 @@
+package hollyslip.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.LongUnaryOperator;
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The generator in virtual time, against targets whose delays are known to the microsecond. */
+class OpenLoopTest {
+  private static final Day.Load LOAD = new Day.Load("v", "p", 4, 1_000, 0.5, 2, 64, 1,
+      Arrivals.Shape.POISSON);
+
+  @TempDir
+  Path dir;
+
+  /** Answers each request as late as {@code delay} says of the time at which it came. */
+  private static final class Fake implements OpenLoop.Target {
+    final LongUnaryOperator delay;
+    final PriorityQueue<long[]> out = new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
+    final List<OpenLoop.Shot> shots = new ArrayList<>();
+    int most = Integer.MAX_VALUE;
+    /** How long the generator's thread is away whenever it has nothing to do, us. */
+    long starved;
+    long now;
+
+    Fake(LongUnaryOperator delay) {
+      this.delay = delay;
+    }
+
+    @Override
+    public boolean submit(OpenLoop.Shot s) {
+      if (out.size() >= most) {
+        return false;
+      }
+      out.add(new long[]{now + delay.applyAsLong(now), shots.size()});
+      shots.add(s);
+      return true;
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public int poll() {
+      int n = 0;
+      while (!out.isEmpty() && out.peek()[0] <= now) {
+        shots.get((int) out.poll()[1]).answered(OpenLoop.End.SERVED);
+        n++;
+      }
+      return n;
+    }
+
+    @Override
+    public void idle(long untilUs) {
+      now = Math.max(now + 1, Math.min(untilUs, out.isEmpty() ? Long.MAX_VALUE : out.peek()[0])) + starved;
+    }
+
+    @Override
+    public long now() {
+      return now;
+    }
+  }
+
+  private static OpenLoop.Ran run(Fake f, boolean closed, double rate, double seconds, Histogram latency) {
+    Arrivals a = new Arrivals(LOAD.shape(), rate, 5);
+    return new OpenLoop(a, new RequestMix(LOAD, 0, 1, 4 << 20, 6), f, closed, d -> latency.recordValue(d
+        .tookUs()))
+        .run(0, (long) (seconds * 1e6));
+  }
+
+  @Test
+  void aStallShowsAllThatFellDueInItAndAClosedLoopHidesIt() {
+    // 200 us each; from 4 s to 6 s nothing moves.
+    LongUnaryOperator stalls = at -> 200 + (at >= 4_000_000 && at < 6_000_000 ? 6_000_000 - at : 0);
+    Histogram open = new Histogram(60_000_000, 3);
+    OpenLoop.Ran ran = run(new Fake(stalls), false, 1_000, 10, open);
+    assertTrue(ran.valid(1_000));
+    assertEquals(ran.due(), ran.answered());
+    // What the schedule says fell due in the stall, more than 1 ms before its end.
+    Arrivals again = new Arrivals(LOAD.shape(), 1_000, 5);
+    long due = 0;
+    for (long at = again.next(1); at < 10_000_000; at = again.next(1)) {
+      due += at >= 4_000_000 && at < 5_999_000 ? 1 : 0;
+    }
+    long late = open.getTotalCount() - open.getCountBetweenValues(0, 1_199);
+    assertEquals(due, late, due * 0.002);
+    assertTrue(open.getValueAtPercentile(90) > 900_000);
+    Histogram closed = new Histogram(60_000_000, 3);
+    run(new Fake(stalls), true, 1_000, 10, closed);
+    assertEquals(1, closed.getTotalCount() - closed.getCountBetweenValues(0, 1_199));
+    assertTrue(closed.getValueAtPercentile(99.9) < 1_000);
+  }
+
+  @Test
+  void percentilesAreThoseOfTheDelay() {
+    Histogram constant = new Histogram(60_000_000, 3);
+    run(new Fake(at -> 20_000), false, 2_000, 20, constant);
+    for (double p : new double[]{50, 90, 99, 99.9}) {
+      assertEquals(20_000, constant.getValueAtPercentile(p), 20_000 * 0.002);
+    }
+    SplittableRandom random = new SplittableRandom(3);
+    Histogram drawn = new Histogram(60_000_000, 3);
+    run(new Fake(at -> (long) (-Math.log(1 - random.nextDouble()) * 10_000)), false, 2_000, 100, drawn);
+    for (double p : new double[]{50, 90, 99, 99.9}) {
+      double exact = -Math.log(1 - p / 100) * 10_000;
+      assertEquals(exact, drawn.getValueAtPercentile(p), exact * 0.05, "p" + p + " of 200,000");
+    }
+  }
+
+  @Test
+  void aStarvedGeneratorSaysThatItsFiguresDoNotCount() {
+    Fake f = new Fake(at -> 200);
+    f.starved = 30_000;
+    OpenLoop.Ran ran = run(f, false, 1_000, 5, new Histogram(60_000_000, 3));
+    assertFalse(ran.valid(1_000));
+  }
+
+  /** A full ring is the target's doing: it shows in the latency, not as the generator's lateness. */
+  @Test
+  void aFullTargetShowsInTheLatencyAlone() {
+    Fake f = new Fake(at -> 10_000);
+    f.most = 5;
+    Histogram latency = new Histogram(60_000_000, 3);
+    OpenLoop.Ran ran = run(f, false, 1_000, 4, latency);
+    assertTrue(ran.valid(1_000));
+    assertTrue(ran.waited() > 0);
+    // 500 a second are served of 1,000 due: at the end of 4 s the queue is some 4 s long.
+    assertEquals(4_000_000, latency.getMaxValue(), 600_000);
+  }
+
+  @Test
+  void shapesKeepTheirMeanRate() {
+    for (Arrivals.Kind kind : Arrivals.Kind.values()) {
+      double swing = kind == Arrivals.Kind.BURST ? 5 : kind == Arrivals.Kind.CURVE ? 0.8 : 0;
+      Arrivals a = new Arrivals(new Arrivals.Shape(kind, 0.5, swing), 1_000, 11);
+      long n = 0;
+      long before = 0;
+      for (long at = a.next(1); at < 400_000_000; at = a.next(1)) {
+        assertTrue(at >= before);
+        before = at;
+        n++;
+      }
+      // On and off times have no finite variance: their mean takes long to show.
+      assertEquals(400_000, n, kind == Arrivals.Kind.ONOFF ? 100_000 : 4_000, kind.name());
+    }
+  }
+
+  @Test
+  void logsOfProcessesMergeToWhatOneWouldHave() throws IOException {
+    LatencyLog one = new LatencyLog();
+    List<LatencyLog> three = List.of(new LatencyLog(), new LatencyLog(), new LatencyLog());
+    SplittableRandom random = new SplittableRandom(8);
+    for (int i = 0; i < 30_000; i++) {
+      String tag = i % 2 == 0 ? "gold.read" : "gold.write";
+      long us = (long) (-Math.log(1 - random.nextDouble()) * 5_000);
+      one.add(tag, i / 3_000, us);
+      three.get(i % 3).add(tag, i / 3_000, us);
+    }
+    LatencyLog merged = new LatencyLog();
+    for (int i = 0; i < 3; i++) {
+      Path file = dir.resolve("log-" + i);
+      three.get(i).write(file);
+      merged.add(LatencyLog.read(file));
+    }
+    for (String tag : one.tags()) {
+      assertEquals(one.all(tag), merged.all(tag));
+      assertEquals(one.seconds(tag).keySet(), merged.seconds(tag).keySet());
+    }
+    Path cut = dir.resolve("cut");
+    Files.writeString(cut, Files.readString(dir.resolve("log-0"))
+        .replaceFirst("Tag=gold.write,.*", "Tag=gold.write,x"));
+    String said = assertThrows(IOException.class, () -> LatencyLog.read(cut)).getMessage();
+    assertTrue(said.contains("cut: interval "), said);
+  }
+}
