--- a/src/main/java/hollyslip/cli/LoadCommand.java
+++ b/src/main/java/hollyslip/cli/LoadCommand.java
@@ -2,10 +2,12 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import hollyslip.emulator.Outcome;
+import hollyslip.emulator.World;
 import hollyslip.load.Day;
 import hollyslip.load.LatencyLog;
 import hollyslip.load.LoadRun;
-import hollyslip.load.OpenLoop;
+import hollyslip.load.Stage;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,7 +22,7 @@
 
 /** Load on a schedule, and what became of it. */
 @Command(name = "load", mixinStandardHelpOptions = true, description = "Load that does not wait for answers, and its figures.", subcommands = {
-    LoadCommand.Run.class, LoadCommand.Report.class, LoadCommand.Compare.class})
+    LoadCommand.Run.class, LoadCommand.Report.class, LoadCommand.Compare.class, LoadCommand.Forecast.class})
 final class LoadCommand implements Callable<Integer> {
   static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
   private static final ObjectMapper JSON = new ObjectMapper();
@@ -212,6 +214,61 @@
     }
   }
 
+  /** The emulator's word against sockets. */
+  @Command(name = "forecast", mixinStandardHelpOptions = true, description = "Plays a day without its troubles on stand-ins over sockets and in the emulator, and prints both side by side: what the emulator is worth on this machine.")
+  static final class Forecast implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "day file")
+    Path file;
+    @Option(names = "--times", split = ",", defaultValue = "1", description = "the load in so many times that of the file, one after the other")
+    double[] times;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+      Logs.to(Logs.Form.text, ch.qos.logback.classic.Level.WARN);
+      try {
+        Day day = Day.parse(Files.readString(file)).with(List.of());
+        System.out.printf("%-6s %-16s %26s %26s %26s%n", "load", "plan.kind", "served a second", "p50 ms",
+            "p99 ms");
+        for (double t : times) {
+          one(day.times(t), t);
+        }
+        return Main.DONE;
+      } catch (IllegalArgumentException e) {
+        System.err.println(file + ": " + e.getMessage());
+        return Main.WRONG;
+      }
+    }
+
+    private static void one(Day day, double times) throws IOException, InterruptedException {
+      Path dir = Files.createTempDirectory("hollyslip-forecast");
+      LoadRun.Result r;
+      try (Stage stage = new Stage(day, dir)) {
+        stage.start();
+        // The gateways' code is compiled as it is used: what comes first is not counted.
+        new LoadRun(new LoadRun.Config(day.lasting(Math.min(5, day.seconds())), stage.sockets(), 0, 1, LoadRun
+            .soon(), false, 1_000)).run();
+        r = new LoadRun(new LoadRun.Config(day, stage.sockets(), 0, 1, LoadRun.soon(), false, 1_000)).run();
+      }
+      Outcome o = World.play(day);
+      for (String tag : r.log().tags()) {
+        Histogram is = r.log().all(tag);
+        Histogram was = o.kinds().get(tag).latency();
+        double s = day.seconds();
+        System.out.printf(Locale.ROOT, "%-6s %-16s %s %s %s%n", times, tag, pair(is.getTotalCount() / s, was
+            .getTotalCount() / s), pair(is.getValueAtPercentile(50) / 1e3, was.getValueAtPercentile(50)
+                / 1e3), pair(is
+                    .getValueAtPercentile(99) / 1e3, was.getValueAtPercentile(99) / 1e3));
+      }
+      System.out.printf(Locale.ROOT, "       generator late by %.3f ms at p99.9: %s%n", r.lateness()
+          .getValueAtPercentile(99.9) / 1e3, r.valid() ? "valid" : "NOT VALID");
+    }
+
+    /** Measured, simulated, and their ratio. */
+    private static String pair(double measured, double simulated) {
+      return String.format(Locale.ROOT, "%9.2f %9.2f %6.2f", measured, simulated, simulated / measured);
+    }
+  }
+
   private static LatencyLog merged(List<Path> logs) throws IOException {
     LatencyLog all = new LatencyLog();
     for (Path p : logs) {
--- a/src/main/java/hollyslip/emulator/Outcome.java
+++ b/src/main/java/hollyslip/emulator/Outcome.java
@@ -14,11 +14,14 @@
  *          the seven rules, from what both ends saw
  * @param plans
  *          figures by plan
+ * @param kinds
+ *          figures by plan and kind, such as {@code gold.read}
  * @param timeline
  *          figures by when requests were due: {@link #INTERVAL_US} each, from the start
  * @param happenings
  *          how much happened in the sequence of virtual time */
-public record Outcome(Auditor.Report audit, Map<String, Tally> plans, List<Tally> timeline,
+public record Outcome(Auditor.Report audit, Map<String, Tally> plans, Map<String, Tally> kinds,
+    List<Tally> timeline,
     long happenings) {
   /** Length of a stretch of the timeline, us. */
   public static final long INTERVAL_US = 250_000;
--- a/src/main/java/hollyslip/emulator/World.java
+++ b/src/main/java/hollyslip/emulator/World.java
@@ -8,6 +8,7 @@
 import hollyslip.audit.Told;
 import hollyslip.load.Day;
 import hollyslip.load.DaySettings;
+import hollyslip.node.Nbd;
 import hollyslip.settings.Deployment;
 import hollyslip.settings.Loader;
 import hollyslip.standin.Command;
@@ -55,6 +56,7 @@
   private final List<Told> told = new ArrayList<>();
   private final Map<String, NodeState> lastTold = new HashMap<>();
   private final Map<String, Outcome.Tally> tallies = new TreeMap<>();
+  private final Map<String, Outcome.Tally> kinds = new TreeMap<>();
   private final List<Outcome.Tally> timeline = new ArrayList<>();
   private boolean listDown;
   private long marks;
@@ -150,7 +152,7 @@
     List<Command> commands = new ArrayList<>();
     disks.forEach(d -> commands.addAll(d.log()));
     return new Outcome(Auditor.check(DaySettings.figures(deployment, 0, 0), asked, commands, told), tallies,
-        timeline, time
+        kinds, timeline, time
             .played());
   }
 
@@ -209,6 +211,8 @@
   void note(Asked a, String plan, long dueUs, long aimUs) {
     asked.add(a);
     tally(plan).add(a.answer(), a.left(), a.answeredUs() - dueUs, aimUs);
+    kinds.computeIfAbsent(plan + (a.kind() == Nbd.CMD_READ ? ".read" : ".write"), k -> new Outcome.Tally())
+        .add(a.answer(), a.left(), a.answeredUs() - dueUs, aimUs);
     int interval = (int) ((dueUs - Sequence.START) / Outcome.INTERVAL_US);
     while (timeline.size() <= interval) {
       timeline.add(new Outcome.Tally());
--- a/src/main/java/hollyslip/load/Day.java
+++ b/src/main/java/hollyslip/load/Day.java
@@ -38,6 +38,10 @@
   /** A volume and what its clients ask: {@code rate} requests a second over all gateways. */
   public record Load(String volume, String plan, int sizeMib, double rate, double reads, int mostBlocks,
       int depth, int clients, Arrivals.Shape shape) {
+    private Load times(double factor) {
+      return new Load(volume, plan, sizeMib, rate * factor, reads, mostBlocks, depth, clients, shape);
+    }
+
     private String text() {
       return "volume " + volume + " plan " + plan + " size-mib " + sizeMib + " rate " + rate + " reads "
           + reads
@@ -161,6 +165,13 @@
     return new Day(seconds, seed, gateways, lanes, example, nodes, plans, volumes, sorted);
   }
 
+  /** The same day with so many times the load. */
+  public Day times(double factor) {
+    return new Day(seconds, seed, gateways, lanes, example, nodes, plans, volumes.stream()
+        .map(v -> v.times(factor))
+        .toList(), troubles);
+  }
+
   /** The same day with a load of so many seconds. */
   public Day lasting(double s) {
     return new Day(s, seed, gateways, lanes, example, nodes, plans, volumes, troubles);
--- a/src/main/java/hollyslip/load/DayRunner.java
+++ b/src/main/java/hollyslip/load/DayRunner.java
@@ -37,10 +37,11 @@
   private final PrintStream out;
   private final long slackUs;
   private final SplittableRandom random;
-  private final List<DiskServer> disks = new ArrayList<>();
+  private final Stage stage;
+  private final List<DiskServer> disks;
   private final NodeState[] states;
-  private final List<Child> gateways = new ArrayList<>();
-  private final List<Deployment> deployments = new ArrayList<>();
+  private final List<Child> gateways;
+  private final List<Deployment> deployments;
   private final List<Client> clients = new ArrayList<>();
   private final List<Told> told = new ArrayList<>();
   private final PriorityQueue<Step> steps = new PriorityQueue<>();
@@ -77,6 +78,10 @@
     this.day = day;
     this.dir = dir;
     this.out = out;
+    stage = new Stage(day, dir);
+    disks = stage.disks;
+    gateways = stage.gateways;
+    deployments = stage.deployments;
     random = new SplittableRandom(day.seed());
     states = new NodeState[day.nodes().count()];
     Arrays.fill(states, NodeState.ON);
@@ -102,31 +107,14 @@
       }
       return finish();
     } finally {
-      for (Child c : gateways) {
-        if (c.isAlive()) {
-          c.kill();
-        }
-      }
-      disks.forEach(DiskServer::close);
+      stage.close();
     }
   }
 
   private void start() throws IOException {
-    for (int i = 0; i < day.nodes().count(); i++) {
-      disks.add(new DiskServer(DiskServer.Config.timed("store-" + i, 64 << 20, day.nodes().cores(), day
-          .nodes()
-          .queue(), day.nodes().baseUs(), day.seed() * 100 + i)));
-    }
-    writeFleet();
-    for (int g = 0; g < day.gateways(); g++) {
-      Files.writeString(settings(g), DaySettings.text(day, g));
-      Loader.Loaded loaded = Loader.load(settings(g));
-      if (!loaded.faults().isEmpty()) {
-        throw new IOException("settings of the day: " + loaded.faults());
-      }
-      deployments.add(loaded.deployment());
-      told.add(new Told.Started(loaded.deployment().gateway().name(), Engine.clock()));
-      gateways.add(new Child(settings(g), log(g)));
+    stage.start();
+    for (Deployment d : deployments) {
+      told.add(new Told.Started(d.gateway().name(), Engine.clock()));
     }
     for (Day.Load v : day.volumes()) {
       for (int c = 0; c < v.clients() * day.gateways(); c++) {
@@ -135,14 +123,6 @@
     }
   }
 
-  private Path settings(int gateway) {
-    return dir.resolve("gateway-" + gateway + ".star");
-  }
-
-  private Path log(int gateway) {
-    return dir.resolve("gateway-" + gateway + ".log");
-  }
-
   private void startClient(Day.Load v, int number) throws IOException {
     int all = v.clients() * day.gateways();
     int g = number % day.gateways();
@@ -159,13 +139,6 @@
     t.start();
   }
 
-  private void writeFleet() throws IOException {
-    String fleet = DaySettings.fleet(disks.size(), i -> disks.get(i).address().getPort(), i -> states[i]);
-    Path fresh = dir.resolve("fleet.star.new");
-    Files.writeString(fresh, fleet);
-    Files.move(fresh, dir.resolve("fleet.star"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
-  }
-
   // Trouble.
 
   private void at(double seconds, String what, Action action) {
@@ -247,7 +220,7 @@
         at(t.at(), "gateway " + g + " is killed", () -> gateways.get(g).kill());
         at(end, "gateway " + g + " is started again", () -> {
           told.add(new Told.Started(deployments.get(g).gateway().name(), Engine.clock()));
-          gateways.set(g, new Child(settings(g), log(g)));
+          gateways.set(g, stage.gateway(g));
         });
       }
       default -> throw new IllegalStateException(t.kind());
@@ -306,7 +279,7 @@
   }
 
   private void tellList() throws IOException {
-    writeFleet();
+    stage.writeFleet(states);
     if (listDown) {
       return;
     }
--- /dev/null
+++ b/src/main/java/hollyslip/load/Stage.java
@@ -0,0 +1,88 @@
+package hollyslip.load;
+
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.settings.Deployment;
+import hollyslip.settings.Loader;
+import hollyslip.standin.DiskServer;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** What a {@link Day} is played on over sockets: stand-ins in this process, gateways in processes of their
+ * own. */
+public final class Stage implements AutoCloseable {
+  private static final long SHARD_BYTES = 64 << 20;
+
+  final List<DiskServer> disks = new ArrayList<>();
+  final List<Child> gateways = new ArrayList<>();
+  final List<Deployment> deployments = new ArrayList<>();
+  private final Day day;
+  private final Path dir;
+
+  /** @param dir
+   *          folder of settings, sockets and logs */
+  public Stage(Day day, Path dir) {
+    day.onSockets();
+    this.day = day;
+    this.dir = dir;
+  }
+
+  /** Starts all; returns when clients may come. */
+  public void start() throws IOException {
+    Files.createDirectories(dir);
+    Day.Nodes n = day.nodes();
+    for (int i = 0; i < n.count(); i++) {
+      disks.add(new DiskServer(DiskServer.Config.timed("store-" + i, SHARD_BYTES, n.cores(), n.queue(), n
+          .baseUs(),
+          day.seed() * 100 + i)));
+    }
+    NodeState[] on = new NodeState[n.count()];
+    Arrays.fill(on, NodeState.ON);
+    writeFleet(on);
+    for (int g = 0; g < day.gateways(); g++) {
+      Files.writeString(settings(g), DaySettings.text(day, g));
+      Loader.Loaded loaded = Loader.load(settings(g));
+      if (!loaded.faults().isEmpty()) {
+        throw new IOException("settings of the day: " + loaded.faults());
+      }
+      deployments.add(loaded.deployment());
+      gateways.add(gateway(g));
+    }
+  }
+
+  /** A process of a gateway. */
+  Child gateway(int number) throws IOException {
+    return new Child(settings(number), dir.resolve("gateway-" + number + ".log"));
+  }
+
+  private Path settings(int gateway) {
+    return dir.resolve("gateway-" + gateway + ".star");
+  }
+
+  /** Replaces the gateways' list of nodes. */
+  void writeFleet(NodeState[] states) throws IOException {
+    Path fresh = dir.resolve("fleet.star.new");
+    Files.writeString(fresh, DaySettings.fleet(disks.size(), i -> disks.get(i).address().getPort(),
+        i -> states[i]));
+    Files.move(fresh, dir.resolve("fleet.star"), StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  /** Folders of the volumes' sockets, one a gateway. */
+  public List<Path> sockets() {
+    return deployments.stream().map(d -> d.gateway().socketDir()).toList();
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    for (Child c : gateways) {
+      if (c.isAlive()) {
+        c.kill();
+      }
+    }
+    disks.forEach(DiskServer::close);
+  }
+}
