--- a/src/main/java/hollyslip/cli/Main.java
+++ b/src/main/java/hollyslip/cli/Main.java
@@ -12,7 +12,7 @@
 @Command(name = "hollyslip", mixinStandardHelpOptions = true, version = "hollyslip 0.2.0", description = "A storage gateway that schedules a host's reads and writes across storage nodes.", subcommands = {
     ServeCommand.class, CheckCommand.class, DemoCommand.class, ReplayCommand.class, RingCommand.class,
     SftpCommand.class, StandinCommand.class, AuditCommand.class, BenchCommand.class, EmulateCommand.class,
-    SearchCommand.class, LoadCommand.class,
+    SearchCommand.class, ExperimentCommand.class, LoadCommand.class,
     AdminCommand.Tenants.class, AdminCommand.Volumes.class, AdminCommand.Plans.class,
     AdminCommand.Nodes.class, Main.Wire.class, GenerateCompletion.class,
     HelpCommand.class}, exitCodeListHeading = "%nExit codes:%n", exitCodeList = {
--- /dev/null
+++ b/src/main/java/hollyslip/emulator/Experiment.java
@@ -0,0 +1,235 @@
+package hollyslip.emulator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import hollyslip.audit.Asked;
+import hollyslip.load.Day;
+import hollyslip.settings.Script;
+import hollyslip.settings.ScriptError;
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ForkJoinPool;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A day in the emulator over and over: each point of a sweep, each on the same seeds. What was run is kept
+ * in {@code runs.jsonl}, so that an interrupted experiment goes on where it was.
+ *
+ * <p>
+ * The file is a script like the settings' (docs/settings.md): {@code experiment(day = "x.day", seeds = 8)}
+ * and {@code sweep("name", [...])}; in the day's text {@code $name} stands for the value. */
+public final class Experiment {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final List<String> CALLS = List.of("experiment", "sweep");
+  private static final Pattern NAME = Pattern.compile("\\$([A-Za-z][A-Za-z0-9_]*)");
+
+  /** One run, as it is kept; latencies in us. */
+  public record Run(Map<String, String> point, long seed, String day, double inAim, double served,
+      double refused,
+      double failed, double p50, double p99, double p999, long happenings, List<String> broken) {
+    boolean is(Map<String, String> p, long s, String text) {
+      return point.equals(p) && seed == s && day.equals(text);
+    }
+  }
+
+  /** What is told of a run by name. */
+  public static final Map<String, ToDoubleFunction<Run>> FIGURES = figures();
+
+  private final String text;
+  private final int seeds;
+  private final Map<String, List<String>> sweeps;
+
+  private Experiment(String text, int seeds, Map<String, List<String>> sweeps) {
+    this.text = text;
+    this.seeds = seeds;
+    this.sweeps = sweeps;
+  }
+
+  private static Map<String, ToDoubleFunction<Run>> figures() {
+    Map<String, ToDoubleFunction<Run>> f = new LinkedHashMap<>();
+    f.put("in aim %", r -> 100 * r.inAim());
+    f.put("served %", r -> 100 * r.served());
+    f.put("refused %", r -> 100 * r.refused());
+    f.put("p50 ms", r -> r.p50() / 1e3);
+    f.put("p99 ms", r -> r.p99() / 1e3);
+    f.put("p99.9 ms", r -> r.p999() / 1e3);
+    return f;
+  }
+
+  /** Reads an experiment and its day.
+   *
+   * @throws IllegalArgumentException
+   *           something is wrong with them; names file and line, or the point of the sweep */
+  public static Experiment read(Path file) throws IOException {
+    JsonNode said;
+    try {
+      Script script = Script.run(file, CALLS);
+      said = script.declared();
+    } catch (ScriptError e) {
+      throw new IllegalArgumentException(e.text());
+    }
+    if (said.path("experiment").size() != 1) {
+      throw new IllegalArgumentException(file + ": experiment(...) must stand in it once");
+    }
+    JsonNode e = said.get("experiment").get(0);
+    int seeds = e.path("seeds").asInt(8);
+    if (!e.path("day").isTextual() || seeds < 1 || seeds > 10_000) {
+      throw new IllegalArgumentException(file + ": experiment: needs a day, and seeds from 1 to 10,000");
+    }
+    Map<String, List<String>> sweeps = new LinkedHashMap<>();
+    for (JsonNode s : said.path("sweep")) {
+      List<String> values = new ArrayList<>();
+      s.path("values").forEach(v -> values.add(v.asText()));
+      if (!s.path("name").isTextual() || values.isEmpty()) {
+        throw new IllegalArgumentException(file + ": sweep: needs a name and values");
+      }
+      sweeps.put(s.get("name").asText(), values);
+    }
+    String text = Files.readString(file.toAbsolutePath().resolveSibling(e.get("day").asText()));
+    Experiment x = new Experiment(text, seeds, sweeps);
+    for (Map<String, String> p : x.points()) {
+      try {
+        x.day(p, 0);
+      } catch (IllegalArgumentException wrong) {
+        throw new IllegalArgumentException(e.get("day").asText() + " at " + p + ": " + wrong.getMessage());
+      }
+    }
+    return x;
+  }
+
+  /** Names of what is swept, in order. */
+  public List<String> names() {
+    return List.copyOf(sweeps.keySet());
+  }
+
+  /** All points of the sweep; the last name moves fastest. */
+  public List<Map<String, String>> points() {
+    List<Map<String, String>> all = List.of(Map.of());
+    for (Map.Entry<String, List<String>> s : sweeps.entrySet()) {
+      List<Map<String, String>> next = new ArrayList<>();
+      for (Map<String, String> p : all) {
+        for (String v : s.getValue()) {
+          Map<String, String> q = new LinkedHashMap<>(p);
+          q.put(s.getKey(), v);
+          next.add(q);
+        }
+      }
+      all = next;
+    }
+    return all;
+  }
+
+  private String text(Map<String, String> point) {
+    Matcher m = NAME.matcher(text);
+    StringBuilder out = new StringBuilder();
+    while (m.find()) {
+      String v = point.get(m.group(1));
+      if (v == null) {
+        throw new IllegalArgumentException("$" + m.group(1) + " is not swept");
+      }
+      m.appendReplacement(out, Matcher.quoteReplacement(v));
+    }
+    return m.appendTail(out).toString();
+  }
+
+  private Day day(Map<String, String> point, long seed) {
+    return Day.parse(text(point)).with(seed);
+  }
+
+  /** Runs what is not kept yet, on so many threads; gives all runs of this experiment.
+   *
+   * @param kept
+   *          where runs are kept; made if it is not there
+   * @param progress
+   *          hears of each new run */
+  public List<Run> run(Path kept, int threads, Consumer<Run> progress) throws IOException,
+      InterruptedException {
+    List<Run> before = Files.exists(kept) ? stored(kept) : List.of();
+    List<Run> done = new ArrayList<>();
+    ForkJoinPool pool = new ForkJoinPool(threads);
+    try (Writer out = Files.newBufferedWriter(kept, StandardCharsets.UTF_8, StandardOpenOption.CREATE,
+        StandardOpenOption.APPEND)) {
+      List<java.util.concurrent.Future<Run>> running = new ArrayList<>();
+      for (Map<String, String> p : points()) {
+        for (long seed = 1; seed <= seeds; seed++) {
+          long s = seed;
+          String t = text(p);
+          before.stream()
+              .filter(r -> r.is(p, s, t))
+              .findFirst()
+              .ifPresentOrElse(done::add, () -> running.add(pool
+                  .submit(() -> keep(out, play(p, s, t)))));
+        }
+      }
+      for (var f : running) {
+        Run r = f.get();
+        done.add(r);
+        progress.accept(r);
+      }
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause());
+    } finally {
+      pool.shutdownNow();
+    }
+    return done;
+  }
+
+  private static List<Run> stored(Path kept) throws IOException {
+    List<Run> all = new ArrayList<>();
+    for (String line : Files.readAllLines(kept)) {
+      try {
+        all.add(JSON.readValue(line, Run.class));
+      } catch (IOException e) {
+        // The line that an interruption cut short: that run is run again.
+        continue;
+      }
+    }
+    return all;
+  }
+
+  private static Run keep(Writer out, Run r) throws IOException {
+    String line = JSON.writeValueAsString(r) + "\n";
+    synchronized (out) {
+      out.write(line);
+      out.flush();
+    }
+    return r;
+  }
+
+  private Run play(Map<String, String> point, long seed, String of) {
+    Outcome o = World.play(day(point, seed));
+    Outcome.Tally t = o.all();
+    double n = Math.max(1, t.asked());
+    return new Run(point, seed, of, t.inAim(), t.count(Asked.Answer.SERVED) / n, t.count(Asked.Answer.REFUSED)
+        / n, t
+            .count(Asked.Answer.FAILED) / n, t.latency().getValueAtPercentile(50), t.latency()
+                .getValueAtPercentile(99), t
+                    .latency()
+                    .getValueAtPercentile(99.9), o.happenings(), o.audit()
+                        .breaches()
+                        .stream()
+                        .map(b -> b.rule().name())
+                        .distinct()
+                        .sorted()
+                        .toList());
+  }
+
+  /** The runs of one point, in order of their seeds. */
+  public static List<Run> of(List<Run> runs, Map<String, String> point) {
+    Map<Long, Run> bySeed = new TreeMap<>();
+    runs.stream().filter(r -> r.point().equals(point)).forEach(r -> bySeed.put(r.seed(), r));
+    return List.copyOf(bySeed.values());
+  }
+}
--- a/src/main/java/hollyslip/settings/Script.java
+++ b/src/main/java/hollyslip/settings/Script.java
@@ -38,6 +38,11 @@
    * @throws ScriptError
    *           it cannot be run */
   public static Script run(Path file) {
+    return run(file, DECLARATIONS);
+  }
+
+  /** As the other, with calls of other names that declare something. */
+  public static Script run(Path file, List<String> kinds) {
     Path dir = file.toAbsolutePath().getParent();
     return run(file.getFileName().toString(), name -> {
       try {
@@ -45,14 +50,19 @@
       } catch (IOException e) {
         return null;
       }
-    });
+    }, kinds);
   }
 
   /** Runs a script out of named texts; null: there is no such file. */
   public static Script run(String file, java.util.function.Function<String, String> texts) {
+    return run(file, texts, DECLARATIONS);
+  }
+
+  private static Script run(String file, java.util.function.Function<String, String> texts,
+      List<String> kinds) {
     Script script = new Script();
     Map<String, Object> names = new HashMap<>();
-    for (String kind : DECLARATIONS) {
+    for (String kind : kinds) {
       names.put(kind, (Callable) (place, positional, named) -> script.declare(kind, place, positional,
           named));
     }
@@ -70,7 +80,7 @@
   }
 
   /** Where the declaration stands to which a pointer such as {@code /node/3/port} leads; null: none. */
-  Place place(String pointer) {
+  public Place place(String pointer) {
     String[] parts = pointer.split("/");
     return parts.length > 2 ? places.get("/" + parts[1] + "/" + parts[2]) : null;
   }
