--- a/src/main/java/hollyslip/cli/BenchCommand.java
+++ b/src/main/java/hollyslip/cli/BenchCommand.java
@@ -1,6 +1,7 @@
 package hollyslip.cli;
 
 import hollyslip.load.CoresBench;
+import hollyslip.load.LoadBench;
 import hollyslip.load.ModuleBench;
 import hollyslip.load.Profile;
 import hollyslip.load.RingComparison;
@@ -14,7 +15,8 @@
 
 /** Measurements. */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measurements on this machine.", subcommands = {
-    BenchCommand.Ring.class, BenchCommand.Cores.class, BenchCommand.Module.class, BenchCommand.Tenants.class})
+    BenchCommand.Ring.class, BenchCommand.Cores.class, BenchCommand.Module.class, BenchCommand.Tenants.class,
+    BenchCommand.Load.class})
 final class BenchCommand implements Callable<Integer> {
   @Override
   public Integer call() {
@@ -96,4 +98,17 @@
       new TenantBench(rounds, seconds).run();
     }
   }
+
+  @Command(name = "load", mixinStandardHelpOptions = true, description = "The generator of load alone, against an echo: how late it comes to its requests, by how many are due a second.")
+  static final class Load extends Measurement {
+    @Option(names = "--rates", split = ",", defaultValue = "50000,100000,200000,400000", description = "requests due a second")
+    int[] rates;
+    @Option(names = "--threads", defaultValue = "2", description = "clients, a thread each")
+    int threads;
+
+    @Override
+    void run() throws Exception {
+      new LoadBench(rounds, seconds, threads, rates).run();
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/hollyslip/load/LoadBench.java
@@ -0,0 +1,101 @@
+package hollyslip.load;
+
+import hollyslip.engine.Engine;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+
+/** How many arrivals a second the generator holds: against an echo, so that its own lateness is all there
+ * is. */
+public final class LoadBench {
+  private final int rounds, threads;
+  private final double seconds;
+  private final int[] rates;
+
+  public LoadBench(int rounds, double seconds, int threads, int[] rates) {
+    this.rounds = rounds;
+    this.seconds = seconds;
+    this.threads = threads;
+    this.rates = rates.clone();
+  }
+
+  /** Answers at the next look. */
+  private static final class Echo implements OpenLoop.Target {
+    private final ArrayDeque<OpenLoop.Shot> out = new ArrayDeque<>();
+
+    @Override
+    public boolean submit(OpenLoop.Shot shot) {
+      return out.add(shot);
+    }
+
+    @Override
+    public void flush() {
+      // Nothing is kept back.
+    }
+
+    @Override
+    public int poll() {
+      int n = out.size();
+      for (int i = 0; i < n; i++) {
+        out.poll().answered(OpenLoop.End.SERVED);
+      }
+      return n;
+    }
+
+    @Override
+    public void idle(long untilUs) {
+      Thread.onSpinWait();
+    }
+
+    @Override
+    public long now() {
+      return Engine.clock();
+    }
+  }
+
+  /** Prints a row a rate and round. */
+  public void run() throws InterruptedException {
+    System.out.printf("%10s %8s %14s %14s %14s %8s%n", "due/s", "threads", "answered/s", "late p99 ms",
+        "late p99.9 ms", "valid");
+    for (int rate : rates) {
+      for (int r = 0; r < rounds; r++) {
+        one(rate, r);
+      }
+    }
+  }
+
+  private void one(int rate, int round) throws InterruptedException {
+    Day.Load load = new Day.Load("v", "p", 64, rate, 0.5, 4, 64, threads, Arrivals.Shape.POISSON, 0, 0, 0);
+    long start = LoadRun.soon();
+    List<OpenLoop.Ran> ran = new ArrayList<>();
+    List<Thread> all = new ArrayList<>();
+    for (int t = 0; t < threads; t++) {
+      long seed = 100L * round + t;
+      LatencyLog log = new LatencyLog();
+      OpenLoop loop = new OpenLoop(new Arrivals(load.shape(), (double) rate / threads, seed), new RequestMix(
+          load, t,
+          threads, 64 << 20, seed), new Echo(), false, d -> log.add("p", (d.dueUs() - start) / 1_000_000, d
+              .tookUs()));
+      Thread thread = new Thread(() -> {
+        OpenLoop.Ran mine = loop.run(start, (long) (seconds * 1e6));
+        synchronized (ran) {
+          ran.add(mine);
+        }
+      });
+      all.add(thread);
+      thread.start();
+    }
+    for (Thread t : all) {
+      t.join();
+    }
+    Histogram late = new Histogram(60_000_000L, 3);
+    ran.forEach(r -> late.add(r.lateness()));
+    long answered = ran.stream().mapToLong(OpenLoop.Ran::answered).sum();
+    System.out.printf(Locale.ROOT, "%10d %8d %14.0f %14.3f %14.3f %8s%n", rate, threads, answered / seconds,
+        late
+            .getValueAtPercentile(99) / 1e3, late.getValueAtPercentile(99.9) / 1e3, late.getValueAtPercentile(
+                99.9) <= 1_000);
+  }
+}
