An event costs the module by the nodes that hold requests, not by the whole fleet

In emulated worlds of 1,000 hosts most of the time went into looking at nodes of which a host held nothing: after each event, and at each period's allocation. Nodes that hold are kept apart, an allocation over nobody is left out.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -92,7 +92,8 @@
   /** The longest time a client of a class had left at arrival: what is missing from it has passed before. */
   private final Map<String, Long> mostRemaining = new HashMap<>();
   private final Map<String, Plan> plans = new HashMap<>();
-  private final Map<Long, Node> nodes = new TreeMap<>();
+  /** All, and those that hold requests: what an event costs must not grow with the fleet. */
+  private final Map<Long, Node> nodes = new TreeMap<>(), holders = new TreeMap<>();
   private final Map<Long, Pending> pendings = new LinkedHashMap<>();
   private final Map<Long, Limit> limits = new HashMap<>();
   private final Map<Long, Limit> reserves = new HashMap<>();
@@ -511,13 +512,17 @@
       p.at.held.computeIfAbsent(p.sort, k -> new TreeMap<>()).put(p.aim, p);
       holding.add(p.at);
       p.node = this;
-      held++;
+      if (held++ == 0) {
+        holders.put(id, this);
+      }
     }
 
     void unhold(Pending p) {
       TreeMap<Aim, Pending> line = p.at.held.get(p.sort);
       if (line != null && line.remove(p.aim) != null) {
-        held--;
+        if (--held == 0) {
+          holders.remove(id);
+        }
         if (line.isEmpty()) {
           p.at.held.remove(p.sort);
         }
@@ -543,6 +548,9 @@
         volumes.values().removeIf(v -> v.held.isEmpty() && now - v.lastAsked > FORGET);
         sweepAt = now + FORGET / 4;
       }
+      if (active.isEmpty()) {
+        return;
+      }
       initialAllocation(active, tokenRate() * PERIOD / 1e6);
       redistribution(active);
       recompensation(active);
@@ -743,7 +751,9 @@
       periodEnd = now + PERIOD;
     }
     blocked = false;
-    nodes.values().forEach(this::release);
+    if (!holders.isEmpty()) {
+      List.copyOf(holders.values()).forEach(this::release);
+    }
     arm();
   }
 
