--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -147,8 +147,8 @@
       room = rules.budgetFree();
     }
 
-    void took() {
-      room = Math.min(rules.budgetFree(), room + rules.budgetShare());
+    void took(int requests) {
+      room = Math.min(rules.budgetFree(), room + requests * rules.budgetShare());
     }
 
     void spend() {
@@ -802,7 +802,7 @@
   }
 
   private void take(Request r) {
-    budget.took();
+    budget.took(r.again() ? 0 : 1);
     RequestClass rules = classes.get(r.className());
     VolumeChanged own = terms.get(r.volume());
     Plan plan = own != null ? own.plan() : plans.get(r.plan());
--- a/src/main/java/hollyslip/HostScheduler.java
+++ b/src/main/java/hollyslip/HostScheduler.java
@@ -183,7 +183,9 @@
   /** A call for the list failed, or the subscription dropped. */
   record ListFailed() implements Event {}
 
-  /** A request was taken. {@code shard} -1: a new object, for any node. {@code hosts} 0: not told. */
+  /** A request was taken. {@code shard} -1: a new object, for any node. {@code hosts} 0: not told.
+   * {@code again}: its client has asked before, or it was taken a while ago: it earns no further attempts
+   * now. */
   record Request(long id, String className, String plan, Long key, long volume, double units, int shard,
       int hosts, long remainingUs, boolean again) implements Event {
     public Request {
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -461,6 +461,7 @@
       goIn(op);
       return;
     }
+    op.waited = true;
     op.place = door.enter(now, op, served.owner, units);
     for (Door.Turned<Operation> t = door.over(now); t != null; t = door.over(now)) {
       turnAway(t.item(), t.retryInUs());
@@ -555,7 +556,9 @@
     }
   }
 
-  /** Tells the module of a piece that may be sent as far as its blocks go. */
+  /** Tells the module of a piece that may be sent as far as its blocks go. One that waited, at the door or
+   * for its blocks, earns no further attempts: it was taken before, and a window's attempts must not exceed
+   * what was taken in it. Harm: fewer further attempts while there are queues. */
   private void submit(Piece piece) {
     Operation op = piece.operation;
     piece.known = true;
@@ -566,7 +569,7 @@
     long extent = op.io.offset() / op.volume.extentBytes();
     tell(new HostScheduler.Request(piece.id, op.rules.name(), op.volume.plan(), op.volume.id() << 24 | extent,
         op.volume.id(), config.classifier().units(piece.kind, piece.length), piece.shard, op.volume.hosts(),
-        op.deadline - now, false));
+        op.deadline - now, op.waited || piece.patience != null));
   }
 
   // The module decides.
--- a/src/main/java/hollyslip/engine/Operation.java
+++ b/src/main/java/hollyslip/engine/Operation.java
@@ -24,6 +24,8 @@
   /** Counted there; null: not. */
   Engine.Served served;
   long letInAt;
+  /** Whether it had to wait at the door. */
+  boolean waited;
   boolean answered;
   boolean released;
   /** Attempts whose outcome is not told yet: they may touch the data. */
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -186,7 +186,7 @@
     for (int step = 0; step < 4_000; step++) {
       int lane = step / 500 % 2 == 0 ? 0 : random.nextInt(2);
       if (random.nextInt(3) > 0) {
-        lanes[lane].took();
+        lanes[lane].took(1);
         story.add(new int[]{1, 0});
       } else if (lanes[lane].allows()) {
         lanes[lane].spend();
--- a/src/test/java/hollyslip/emulator/WorldTest.java
+++ b/src/test/java/hollyslip/emulator/WorldTest.java
@@ -103,4 +103,25 @@
     assertTrue(o.audit().kept(), () -> o.audit().breaches().toString());
     assertTrue(o.all().count(Asked.Answer.FAILED) > 0);
   }
+
+  /** Found by a search: requests that had waited seconds at the door earned further attempts when they were
+   * let in, in a window in which they were not taken. */
+  @Test
+  void whatWaitedAtTheDoorEarnsNoFurtherAttempts() {
+    Outcome o = World.play(Day.parse(
+        """
+            day 20.0
+            seed 814606828664
+            gateways 5
+            lanes 1
+            nodes count 7 cores 4 queue 64 base-us 1000 net-us 40 engine-us 9.0
+            plan gold rate 400.0 reserve 200.0 weight 4.0
+            plan plain limit 300.0 limit-burst 60.0 limit-slack 16.0 rate 200.0 reserve 50.0 weight 1.0
+            volume orders plan gold size-mib 24 rate 300.0 reads 0.6 most-blocks 4 depth 64 clients 1 shape poisson period 0.0 swing 0.0 hosts 0 spread 0 first 0
+            volume returns plan plain size-mib 24 rate 100.0 reads 0.5 most-blocks 2 depth 64 clients 1 shape poisson period 0.0 swing 0.0 hosts 0 spread 0 first 0
+            volume scans plan plain size-mib 24 rate 40.0 reads 0.95 most-blocks 64 depth 16 clients 1 shape onoff period 4.0 swing 0.0 hosts 0 spread 0 first 0
+            at 10.9 fast-errors for 6.6 part 1.0 size 0.6
+            """));
+    assertTrue(o.audit().kept(), () -> o.audit().breaches().toString());
+  }
 }
