Reloads by signal run one at a time

Each SIGHUP has a thread of its own: of two close together the older one's reading of a file could be taken on last, and stay in force.

--- a/src/main/java/hollyslip/cli/ServeCommand.java
+++ b/src/main/java/hollyslip/cli/ServeCommand.java
@@ -54,7 +54,9 @@
     return clean && !gateway.superseded().isDone() ? Main.DONE : Main.FAILED;
   }
 
-  private void reload(Gateway gateway) {
+  /** One at a time: each signal has a thread of its own, and what an older one had read of a file could be
+   * taken on after a newer one's, and stay. */
+  private synchronized void reload(Gateway gateway) {
     if (gateway.admin() != null) {
       gateway.admin().reloadKeys();
     }
