Resumed experiments keep the run behind a line cut short; less on the generator's way

Read again: an interrupted experiment wrote its next run behind the line that was cut short, and lost it each time it was resumed; other lines that could not be read were passed over in silence. The cut line goes, others are named. The generator made a text for each answer; one node's word listed the whole fleet; an unused count and an overload are gone. The test fails without it.

--- a/src/main/java/hollyslip/emulator/Experiment.java
+++ b/src/main/java/hollyslip/emulator/Experiment.java
@@ -201,14 +201,23 @@
     return done;
   }
 
+  /** Runs that are kept. An interruption may have cut the last line short: that alone is dropped, from the
+   * file too, as the next run would be written on behind it and be lost with it.
+   *
+   * @throws IOException
+   *           another line cannot be read; names it */
   private static List<Run> stored(Path kept) throws IOException {
+    String text = Files.readString(kept);
+    int whole = text.lastIndexOf('\n') + 1;
+    if (whole < text.length()) {
+      Files.writeString(kept, text.substring(0, whole));
+    }
     List<Run> all = new ArrayList<>();
-    for (String line : Files.readAllLines(kept)) {
+    for (String line : text.substring(0, whole).lines().toList()) {
       try {
         all.add(JSON.readValue(line, Run.class));
       } catch (IOException e) {
-        // The line that an interruption cut short: that run is run again.
-        continue;
+        throw new IOException(kept + ": line " + (all.size() + 1) + " is no run: " + e.getMessage(), e);
       }
     }
     return all;
--- a/src/main/java/hollyslip/emulator/World.java
+++ b/src/main/java/hollyslip/emulator/World.java
@@ -77,20 +77,14 @@
    * @throws IllegalArgumentException
    *           its plans or volumes do not make settings; names what is wrong */
   public static Outcome play(Day day) {
-    return play(day, deployment(day));
-  }
-
-  /** Plays a day whose settings were made before by {@link #deployment}: they depend on all of the day but
-   * its seed, its length, its troubles and its rates. */
-  static Outcome play(Day day, Deployment deployment) {
-    World w = new World(day, deployment);
+    World w = new World(day, deployment(day));
     w.build();
     w.day.troubles().forEach(w::trouble);
     return w.run();
   }
 
   /** The settings of a day's gateways. */
-  static Deployment deployment(Day day) {
+  private static Deployment deployment(Day day) {
     try {
       Path dir = Files.createTempDirectory("hollyslip-emulate");
       try {
@@ -194,11 +188,15 @@
   List<Listed> listed() {
     List<Listed> all = new ArrayList<>();
     for (int i = 0; i < states.length; i++) {
-      all.add(new Listed(i + 1, deployment.nodes().get(i).zone(), i, states[i], 0));
+      all.add(listed(i));
     }
     return all;
   }
 
+  private Listed listed(int disk) {
+    return new Listed(disk + 1, deployment.nodes().get(disk).zone(), disk, states[disk], 0);
+  }
+
   /** A gateway was told so. */
   void told(Site site, List<Listed> list) {
     for (Listed l : list) {
@@ -349,7 +347,7 @@
   private void list(Disk d, NodeState state) {
     states[d.index] = state;
     if (!listDown) {
-      Listed l = listed().get(d.index);
+      Listed l = listed(d.index);
       sites.stream().filter(Site::isAlive).forEach(s -> time.in(listDelay(random), () -> {
         if (s.isAlive() && states[d.index] == state) {
           s.state(l);
--- a/src/main/java/hollyslip/load/LoadRun.java
+++ b/src/main/java/hollyslip/load/LoadRun.java
@@ -53,10 +53,12 @@
       SplittableRandom seeds = new SplittableRandom(seed);
       RequestMix mix = new RequestMix(v, number, all, (long) v.sizeMib() << 20, seeds.nextLong());
       Arrivals arrivals = new Arrivals(v.shape(), v.rate() / all, seeds.nextLong());
+      String reads = v.plan() + ".read";
+      String writes = v.plan() + ".write";
       loop = new OpenLoop(arrivals, mix, target, config.closed(), d -> {
         ends.get(d.end()).incrementAndGet();
         if (d.end() == OpenLoop.End.SERVED) {
-          mine.add(v.plan() + "." + (d.ask().kind() == IoKind.READ ? "read" : "write"), (d.dueUs() - config
+          mine.add(d.ask().kind() == IoKind.READ ? reads : writes, (d.dueUs() - config
               .startUs()) / 1_000_000, d.tookUs());
         }
       });
@@ -88,11 +90,6 @@
     }
   }
 
-  /** Requests answered so far. */
-  public long answered() {
-    return ends.values().stream().mapToLong(AtomicLong::get).sum();
-  }
-
   /** Ends the schedule early; {@link #run} returns with what there is. */
   public void stop() {
     clients.forEach(c -> c.loop.stop());
--- a/src/test/java/hollyslip/emulator/ExperimentTest.java
+++ b/src/test/java/hollyslip/emulator/ExperimentTest.java
@@ -64,6 +64,13 @@
     for (var p : x.points()) {
       assertEquals(Experiment.of(all, p), Experiment.of(resumed, p));
     }
+    // It is kept now: behind the line that was cut short it had been lost each time.
+    fresh.clear();
+    x.run(kept, 2, fresh::add);
+    assertEquals(List.of(), fresh);
+    Files.writeString(kept, "{no run}\n" + Files.readString(kept));
+    String said = assertThrows(IOException.class, () -> x.run(kept, 1, r -> {})).getMessage();
+    assertTrue(said.contains("line 1"), said);
   }
 
   @Test
