hollyslip platform: the platform's protocol in and out, driving the module directly

Package hollyslip.platform, one event loop; heads are looked at before the codec sees them, requests are written anew, connections rest before they are used again.

--- a/src/main/java/hollyslip/WireHost.java
+++ b/src/main/java/hollyslip/WireHost.java
@@ -14,7 +14,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
 
@@ -138,7 +137,7 @@
     JsonNode conf = need(m, "conf");
     long seed = need(m, "nonce64").asLong();
     try {
-      instances.put(name, factory.apply(settings(seed, conf)));
+      instances.put(name, factory.apply(WireSettings.parse(seed, conf)));
     } catch (IllegalArgumentException e) {
       fault(name, e);
     }
@@ -221,70 +220,6 @@
     return values;
   }
 
-  private static HostScheduler.Settings settings(long seed, JsonNode c) {
-    List<HostScheduler.RequestClass> classes = new ArrayList<>();
-    JsonNode writes = c.path("extra").path("changesData");
-    c.path("classes").forEach(k -> classes.add(requestClass(k, writes.path(classes.size()))));
-    List<HostScheduler.Plan> plans = new ArrayList<>();
-    c.path("policies").forEach(p -> plans.add(plan(p)));
-    JsonNode r = c.path("rules");
-    JsonNode a = c.path("policyLimits");
-    JsonNode x = c.path("extra");
-    List<String> fields = new ArrayList<>();
-    c.path("stats").path("names").forEach(f -> fields.add(neutralField(f.asText())));
-    return new HostScheduler.Settings(seed, c.path("myNumber").asInt(), c.path("balancers").asInt(1), c.path(
-        "az").asText(""), Math.max(1, micros(c.path("tick"))), c.path("discovery")
-            .asText()
-            .equals("on_request"), classes, plans, new HostScheduler.Rules(micros(r.path("graceToAnswer")),
-                micros(r.path("drainGrace")), r.path("coldFrom").asDouble(1), micros(r.path("cold")), r.path(
-                    "fallMultiple").asDouble(), micros(r.path("fall")), micros(r.path("settleAfterDoubt")), r
-                        .path("furtherRatio")
-                        .asDouble(), r.path("budgetFree").asDouble(), micros(r.path("resendSpan")), micros(r
-                            .path("askWithin"))), new HostScheduler.Allowed(a.path("maxAttempts").asInt(1), a
-                                .path("probes")
-                                .asBoolean(), a.path("cancel").asBoolean(), a.path("secondCopies")
-                                    .asBoolean(), a.path("retryAfter").asBoolean(), micros(a.path(
-                                        "maxRetryAfter")), micros(a.path("dialTimeout"))),
-        new HostScheduler.Store(x.path("unitMean").asDouble(1), x.path("mostUnits").asInt(1), x.path(
-            "coldBears").asDouble(), x.path("fairWorth").asDouble(), x.path("idleWorth").asDouble(), micros(x
-                .path("meter")), x.path("tellsElsewhere").asBoolean()), switch (c.path("stats")
-                    .path("how")
-                    .asText()) {
-                  case "answers" -> HostScheduler.ReportSource.ANSWERS;
-                  case "probe" -> HostScheduler.ReportSource.PROBE;
-                  default -> HostScheduler.ReportSource.NONE;
-                }, fields);
-  }
-
-  private static HostScheduler.RequestClass requestClass(JsonNode k, JsonNode write) {
-    return new HostScheduler.RequestClass(need(k, "name").asText(), switch (k.path("effect").asText()) {
-      case "pure" -> HostScheduler.Effect.SAFE;
-      case "token" -> HostScheduler.Effect.KEYED;
-      default -> HostScheduler.Effect.UNSAFE;
-    }, switch (k.path("group").asText()) {
-      case "all" -> HostScheduler.Group.ALL;
-      case "zone" -> HostScheduler.Group.ZONE;
-      default -> HostScheduler.Group.CELL;
-    }, micros(k.path("window")), micros(k.path("aim")), micros(k.path("giveUp")), k.path("points").asDouble(),
-        k.path("lateValue").asDouble(), k.path("byArrival").asBoolean(), write.asBoolean());
-  }
-
-  private static HostScheduler.Plan plan(JsonNode p) {
-    return new HostScheduler.Plan(need(p, "name").asText(), p.path("nominal").asDouble(), p.path("guaranteed")
-        .asDouble(), p.path("proportion").asDouble(1), p.path("price").asDouble(1), p.path("cap").asDouble(),
-        p.path("capDepth").asDouble(), p.path("limitSlack").asDouble());
-  }
-
-  private static String neutralField(String name) {
-    return switch (name.toLowerCase(Locale.ROOT)) {
-      case "outstanding" -> "inflight";
-      case "backlog" -> "queue";
-      case "utilization" -> "util";
-      case "recent_ms" -> "latency_ms";
-      default -> name;
-    };
-  }
-
   private void write(String name, HostScheduler.Action action) throws IOException {
     if (action instanceof HostScheduler.Send s) {
       start("RELAY", name);
--- a/src/main/java/hollyslip/cli/Main.java
+++ b/src/main/java/hollyslip/cli/Main.java
@@ -1,6 +1,7 @@
 package hollyslip.cli;
 
 import hollyslip.WireHost;
+import hollyslip.platform.Node;
 import java.io.IOException;
 import java.util.concurrent.Callable;
 import picocli.AutoComplete.GenerateCompletion;
@@ -14,7 +15,7 @@
     SftpCommand.class, StandinCommand.class, AuditCommand.class, BenchCommand.class, EmulateCommand.class,
     SearchCommand.class, ExperimentCommand.class, LoadCommand.class,
     AdminCommand.Tenants.class, AdminCommand.Volumes.class, AdminCommand.Plans.class,
-    AdminCommand.Nodes.class, Main.Wire.class, GenerateCompletion.class,
+    AdminCommand.Nodes.class, Main.Wire.class, Main.Platform.class, GenerateCompletion.class,
     HelpCommand.class}, exitCodeListHeading = "%nExit codes:%n", exitCodeList = {
         "0:done; for demo, replay and audit: all rules kept",
         "1:something failed; for demo, replay and audit: a rule was broken",
@@ -22,12 +23,16 @@
 public final class Main implements Callable<Integer> {
   static final int DONE = 0, FAILED = 1, WRONG = 2;
 
-  public static void main(String[] args) throws IOException {
-    // wirehost is started often and by many, so it loads nothing of all this.
+  public static void main(String[] args) throws IOException, InterruptedException {
+    // These two are started often and by many, the second with little memory: they load nothing of all this.
     if (args.length > 0 && args[0].equals("wirehost")) {
       WireHost.main(args);
       return;
     }
+    if (args.length == 1 && args[0].equals("platform")) {
+      Node.main(args);
+      return;
+    }
     System.exit(new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true).execute(args));
   }
 
@@ -46,4 +51,14 @@
       return DONE;
     }
   }
+
+  /** Listed for the help; {@link #main} runs it. */
+  @Command(name = "platform", description = "Runs one scheduler on the platform, told what it needs by PROXY_CONFIG and the variables beside it (docs/platform.md), until SIGTERM.")
+  static final class Platform implements Callable<Integer> {
+    @Override
+    public Integer call() throws InterruptedException {
+      Node.main(new String[]{"platform"});
+      return DONE;
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -0,0 +1,34 @@
+package hollyslip.platform;
+
+import java.io.File;
+
+/** Resources, not policy: how many descriptors and bytes each side may hold, so that neither side can take
+ * what the other needs.
+ *
+ * @param clients
+ *          connections of clients
+ * @param disks
+ *          connections to disk servers, those that are coming up too
+ * @param bytes
+ *          of request bodies held at a time */
+record Bounds(int clients, int disks, long bytes) {
+  /** Descriptors kept free beside both: discovery's old and new connection, and files opened now and then. */
+  private static final int SPARE = 10;
+
+  /** Longest body of a request or an answer, bytes: the protocol's. */
+  static final int BODY = 64 << 10;
+
+  /** Of what the process may hold and does not hold yet, clients get three fifths: nearly twice the third
+   * that the platform's usual clients take. */
+  static Bounds of(int sockets, int held, int memoryMb) {
+    int room = Math.max(8, sockets - held - SPARE);
+    int clients = room * 3 / 5;
+    return new Bounds(clients, room - clients, memoryMb * (1L << 20) / 16);
+  }
+
+  /** Descriptors that the process holds now. */
+  static int descriptorsHeld() {
+    String[] open = new File("/proc/self/fd").list();
+    return open == null ? 64 : open.length;
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -0,0 +1,302 @@
+package hollyslip.platform;
+
+import hollyslip.HostScheduler;
+import hollyslip.HostScheduler.Action;
+import hollyslip.HostScheduler.Event;
+import hollyslip.HostScheduler.Listed;
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.HostScheduler.Result;
+import hollyslip.HostScheduler.Settings;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Owns the module and the open requests: what happens goes in as events, in order, and what the module wants
+ * is carried out. Outside ids become numbers here, and are forgotten with what they stood for. */
+final class Desk {
+  /** How soon the module is called again after a fault of its own, us: its timer may be lost. */
+  private static final long AFTER_FAULT_US = 10_000;
+
+  private final HostScheduler module;
+  private final Settings settings;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Log log;
+  private final DiskServers disks;
+  private final Readings readings;
+  private final long mostBytes;
+  private final Map<String, Exchange> byId = new HashMap<>();
+  private final Map<Long, Exchange> byNumber = new HashMap<>();
+  private final Map<Long, Map<Integer, Call>> calls = new HashMap<>();
+  private final Map<String, DiskServer> servers = new HashMap<>();
+  private final Map<Long, DiskServer> serversByNumber = new HashMap<>();
+  private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private boolean running;
+  private long lastNumber, lastServer, bytes;
+
+  Desk(HostScheduler module, Settings settings, EventLoop loop, Clock clock, Log log, DiskServers disks,
+      long mostBytes) {
+    this.module = module;
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.disks = disks;
+    this.mostBytes = mostBytes;
+    readings = new Readings(settings);
+  }
+
+  /** Whether this id belongs to a request that has not ended. */
+  boolean isOpen(String id) {
+    return byId.containsKey(id);
+  }
+
+  /** Whether there is room for one more body. */
+  boolean hasRoom(int length) {
+    return bytes + length <= mostBytes;
+  }
+
+  /** Open requests that await their answer or the end of an attempt. */
+  int open() {
+    return byNumber.size();
+  }
+
+  /** Takes a request whose last byte came at {@code cameAt}, us; its id must not be open. */
+  Exchange take(Ask ask, byte[] body, long cameAt, Exchange.Reply reply) {
+    Exchange x = new Exchange(ask, body, ++lastNumber, cameAt + ask.remainingUs(), reply);
+    byId.put(ask.id(), x);
+    byNumber.put(x.number, x);
+    bytes += body.length;
+    happened(new HostScheduler.Request(x.number, ask.className(), ask.plan(), ask.key(), ask.volume(), ask
+        .units(), ask.shard(), ask.hosts(), x.deadline - clock.now(), ask.again()));
+    return x;
+  }
+
+  /** The client of a request left. */
+  void departed(Exchange x) {
+    if (!x.over()) {
+      x.left();
+      happened(new HostScheduler.Departed(x.number));
+      forgetIfDone(x);
+    }
+  }
+
+  /** Takes on what discovery says. */
+  void news(ListNews news) {
+    long now = clock.now();
+    List<Listed> listed = new ArrayList<>();
+    Set<String> named = new HashSet<>();
+    for (ListNews.Entry e : news.entries()) {
+      named.add(e.host());
+      DiskServer s = servers.get(e.host());
+      if (s == null && e.state() == NodeState.GONE) {
+        continue;
+      }
+      if (s == null) {
+        s = new DiskServer(e.host(), ++lastServer);
+        servers.put(s.host, s);
+        serversByNumber.put(s.number, s);
+      }
+      update(s, e, now);
+      listed.add(new Listed(s.number, e.zone(), e.cell(), e.state(), s.bornUs));
+    }
+    if (news.whole()) {
+      servers.values()
+          .stream()
+          .filter(s -> !named.contains(s.host))
+          .forEach(s -> state(s, NodeState.GONE,
+              now));
+    }
+    happened(new HostScheduler.NodeList(news.whole(), listed));
+    List.copyOf(servers.values()).forEach(this::forgetIfGone);
+  }
+
+  private void update(DiskServer s, ListNews.Entry e, long now) {
+    if (e.bornMs() != s.bornMs) {
+      s.bornMs = e.bornMs();
+      // Once for each start: the module takes another time for another start.
+      s.bornUs = e.bornMs() > 0 ? Math.max(1, clock.ofWall(e.bornMs())) : 0;
+      disks.dropIdle(s);
+    }
+    if (e.dial() != null && !e.dial().equals(s.dial)) {
+      s.dial = e.dial();
+      disks.dropIdle(s);
+    }
+    state(s, e.state(), now);
+  }
+
+  private void state(DiskServer s, NodeState state, long now) {
+    if (s.state == NodeState.ON && state != NodeState.ON) {
+      s.toldAt = now;
+    }
+    s.state = state;
+    if (state == NodeState.GONE) {
+      disks.dropIdle(s);
+    }
+  }
+
+  private void forgetIfGone(DiskServer s) {
+    if (s.state == NodeState.GONE && s.calls == 0) {
+      disks.dropIdle(s);
+      servers.remove(s.host, s);
+      serversByNumber.remove(s.number);
+    }
+  }
+
+  private void happened(Event event) {
+    events.add(event);
+    if (running) {
+      return;
+    }
+    running = true;
+    for (Event e = events.poll(); e != null; e = events.poll()) {
+      try {
+        module.handle(clock.now(), e, this::carryOut);
+      } catch (RuntimeException fault) {
+        log.event("module.fault", fault, fault.getStackTrace().length > 0 ? fault.getStackTrace()[0] : "");
+        timer(clock.now() + AFTER_FAULT_US, 0);
+      }
+    }
+    running = false;
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof HostScheduler.Send s) {
+      send(s);
+    } else if (action instanceof HostScheduler.Refuse r) {
+      Exchange x = byNumber.get(r.request());
+      if (x != null) {
+        x.refuse(settings.allowed().retryAfter() ? r.retryInUs() : 0);
+        forgetIfDone(x);
+      }
+    } else if (action instanceof HostScheduler.Fail f) {
+      Exchange x = byNumber.get(f.request());
+      if (x != null) {
+        x.fail();
+        forgetIfDone(x);
+      }
+    } else if (action instanceof HostScheduler.Cancel k) {
+      Call c = calls.getOrDefault(k.request(), Map.of()).get(k.attempt());
+      if (c != null) {
+        disks.cancel(c);
+      }
+    } else if (action instanceof HostScheduler.Probe p) {
+      probe(p.node());
+    } else if (action instanceof HostScheduler.SetTimer t) {
+      timer(t.at(), t.id());
+    }
+  }
+
+  private void timer(long at, long id) {
+    loop.schedule(() -> happened(new HostScheduler.TimerDue(id)), Math.max(0, at - clock.now()),
+        TimeUnit.MICROSECONDS);
+  }
+
+  private void send(HostScheduler.Send s) {
+    Exchange x = byNumber.get(s.request());
+    if (x == null) {
+      return;
+    }
+    int attempt = x.attempts++;
+    long now = clock.now();
+    DiskServer to = serversByNumber.get(s.node());
+    if (to == null || x.over() || attempt >= settings.allowed().maxAttempts()) {
+      happened(new HostScheduler.Outcome(x.number, attempt, s.node(), Result.MOOT, x.over(), 0, 0, 0, null));
+      return;
+    }
+    x.out++;
+    long giveUpAt = s.timeoutAt() > 0 ? Math.min(s.timeoutAt(), x.deadline) : x.deadline;
+    long born = to.bornUs;
+    Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> !x.over() && to.bornUs == born
+        && mayStart(to, at), (result, tookUs, headers, body) -> ended(x, attempt, to, result, tookUs, headers,
+            body));
+    calls.computeIfAbsent(x.number, k -> new HashMap<>()).put(attempt, c);
+    disks.start(c);
+  }
+
+  /** Whether a drain's grace, if it is told to drain, has not run out. */
+  private boolean mayStart(DiskServer to, long now) {
+    return to.state == NodeState.ON || now < to.toldAt + settings.rules().drainGraceUs();
+  }
+
+  private void ended(Exchange x, int attempt, DiskServer from, Result result, long tookUs,
+      HttpHeaders headers, byte[] body) {
+    x.out--;
+    Map<Integer, Call> own = calls.get(x.number);
+    own.remove(attempt);
+    if (own.isEmpty()) {
+      calls.remove(x.number);
+    }
+    if (result == Result.OK) {
+      x.serve(body);
+    }
+    happened(new HostScheduler.Outcome(x.number, attempt, from.number, result, x.over(), tookUs, readings
+        .metered(headers), readings.elsewhere(headers), readings.report(headers)));
+    forgetIfDone(x);
+    forgetIfGone(from);
+  }
+
+  private void forgetIfDone(Exchange x) {
+    if (x.over() && x.out == 0 && byNumber.remove(x.number) != null) {
+      byId.remove(x.ask.id(), x);
+      bytes -= x.body.length;
+    }
+  }
+
+  private void probe(long node) {
+    DiskServer to = serversByNumber.get(node);
+    if (to == null) {
+      return;
+    }
+    long now = clock.now();
+    boolean reports = settings.reportSource() != HostScheduler.ReportSource.NONE;
+    String path = reports ? "/status/load" : "/health";
+    disks.start(new Call(to, now, now + settings.allowed().connectTimeoutUs(), waitUs -> ascii("GET " + path
+        + " HTTP/1.1\r\nHost: " + authority(to) + "\r\n\r\n"), at -> to.state != NodeState.GONE, (result,
+            tookUs, headers, body) -> {
+          happened(new HostScheduler.Probed(node, result, tookUs, readings.probed(headers, body)));
+          forgetIfGone(to);
+        }));
+  }
+
+  /** An attempt's request, written anew: only what the protocol names is passed on. */
+  private static ByteBuf bytes(Exchange x, DiskServer to, long waitUs) {
+    Ask a = x.ask;
+    StringBuilder head = new StringBuilder(256).append(a.method())
+        .append(' ')
+        .append(a.uri())
+        .append(" HTTP/1.1\r\nHost: ")
+        .append(authority(to))
+        .append("\r\nX-Txn: ")
+        .append(a.id())
+        .append("\r\nX-Remaining: ")
+        .append(Math.max(0, waitUs))
+        .append("u\r\n");
+    if (a.idempotencyKey() != null) {
+      head.append("Idempotency-Key: ").append(a.idempotencyKey()).append("\r\n");
+    }
+    if (x.body.length > 0 || a.method().equals("PUT")) {
+      head.append("Content-Length: ").append(x.body.length).append("\r\n");
+    }
+    ByteBuf text = ascii(head.append("\r\n").toString());
+    return x.body.length == 0 ? text : Unpooled.wrappedBuffer(text, Unpooled.wrappedBuffer(x.body));
+  }
+
+  private static ByteBuf ascii(String text) {
+    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String authority(DiskServer to) {
+    return to.dial.getAddress().getHostAddress() + ":" + to.dial.getPort();
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -0,0 +1,263 @@
+package hollyslip.platform;
+
+import hollyslip.HostScheduler.Result;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Connections to disk servers, and the calls on them. Nothing is ever sent twice here. */
+final class DiskServers {
+  /** How long a connection must have stayed silent after an answer before it is used again, us. Guards
+   * against what follows an answer some ms later, which would be taken for the answer to the next request.
+   * Harm: a few connections more. */
+  static final long REST_US = 25_000;
+
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Log log;
+  private final int most;
+  private final long connectUs, idleUs;
+  private final Bootstrap bootstrap;
+  private final Set<DiskConnection> all = new HashSet<>();
+  /** Calls for which there was no descriptor. */
+  private final Deque<Call> waiting = new ArrayDeque<>();
+  /** Connections that are coming up. */
+  private int dialling;
+  private boolean serving;
+  long dials;
+
+  /** @param most
+   *          connections at a time, those that are coming up included
+   * @param connectUs
+   *          one that is not up by then has failed
+   * @param idleCloseUs
+   *          disk servers close what was idle for so long; 0: never */
+  DiskServers(EventLoop loop, Clock clock, Log log, int most, long connectUs, long idleCloseUs) {
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.most = most;
+    this.connectUs = connectUs > 0 ? connectUs : 1_000_000;
+    // A request may be under way as the other side's time runs out: a tenth of it is kept clear.
+    idleUs = idleCloseUs > 0 ? idleCloseUs - idleCloseUs / 10 : Long.MAX_VALUE;
+    bootstrap = new Bootstrap().group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, this.connectUs / 1000))
+        .handler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel ch) {
+            // The handlers follow once it is up: nothing is read before a request was written.
+          }
+        });
+  }
+
+  long now() {
+    return clock.now();
+  }
+
+  int open() {
+    return all.size() + dialling;
+  }
+
+  /** Starts a call; its listener hears how it ended, maybe before this returns. */
+  void start(Call c) {
+    c.to.calls++;
+    long now = now();
+    c.timeout = loop.schedule(() -> timedOut(c), Math.max(0, c.giveUpAt - now), TimeUnit.MICROSECONDS);
+    DiskConnection kept = kept(c.to, now);
+    if (kept != null) {
+      write(kept, c, now);
+    } else if (open() < most || evict()) {
+      dial(c);
+    } else {
+      waiting.add(c);
+      loop.schedule(() -> waitedLong(c), connectUs, TimeUnit.MICROSECONDS);
+    }
+  }
+
+  /** Gives a call up. */
+  void cancel(Call c) {
+    if (!c.ended()) {
+      DiskConnection on = c.connection;
+      c.end(c.written ? Result.CANCELLED : Result.MOOT, now());
+      if (on != null) {
+        on.giveUp();
+      }
+    }
+  }
+
+  private void write(DiskConnection on, Call c, long now) {
+    if (c.wanted.now(now) && now < c.giveUpAt) {
+      on.start(c, now);
+    } else {
+      c.end(Result.MOOT, now);
+      if (on.usable() && !on.to.idle.contains(on)) {
+        free(on);
+      }
+    }
+  }
+
+  /** The most recently used connection that has proved itself clean and is not about to be closed. */
+  private DiskConnection kept(DiskServer to, long now) {
+    closeOld(to, now);
+    for (var it = to.idle.descendingIterator(); it.hasNext();) {
+      DiskConnection c = it.next();
+      if (now - c.freeAt >= REST_US && c.usable()) {
+        it.remove();
+        return c;
+      }
+    }
+    return null;
+  }
+
+  private void closeOld(DiskServer to, long now) {
+    while (!to.idle.isEmpty() && now - to.idle.peekFirst().freeAt >= idleUs) {
+      to.idle.peekFirst().close();
+    }
+  }
+
+  /** Makes room for a connection by closing the one that was idle longest; gives whether there was one. */
+  private boolean evict() {
+    DiskConnection oldest = null;
+    for (DiskConnection c : all) {
+      if (c.usable() && c.to.idle.contains(c) && (oldest == null || c.freeAt < oldest.freeAt)) {
+        oldest = c;
+      }
+    }
+    if (oldest != null) {
+      oldest.close();
+    }
+    return oldest != null;
+  }
+
+  private void dial(Call c) {
+    DiskServer to = c.to;
+    dialling++;
+    dials++;
+    ChannelFuture f;
+    try {
+      f = bootstrap.connect(to.dial);
+    } catch (RuntimeException e) {
+      dialling--;
+      noDescriptor(c, e);
+      return;
+    }
+    f.addListener(done -> {
+      dialling--;
+      if (done.isSuccess()) {
+        up(f.channel(), to, c);
+      } else {
+        boolean theirs = done.cause() instanceof ConnectException || done
+            .cause() instanceof java.net.SocketException && !String.valueOf(done.cause().getMessage())
+                .contains("open files");
+        if (theirs) {
+          c.end(Result.CONNECT_FAILED, now());
+        } else {
+          noDescriptor(c, done.cause());
+        }
+      }
+      serveWaiting();
+    });
+  }
+
+  /** No fault of the disk server, and nothing was sent. */
+  private void noDescriptor(Call c, Throwable cause) {
+    log.event("disk.no-descriptor", c.to.host, cause);
+    c.end(Result.MOOT, now());
+  }
+
+  private void up(Channel channel, DiskServer to, Call c) {
+    DiskConnection connection = new DiskConnection(to, channel, this);
+    all.add(connection);
+    connection.open();
+    long now = now();
+    if (c.ended()) {
+      connection.freeAt = now - REST_US;
+      to.idle.addLast(connection);
+    } else {
+      connection.freeAt = now;
+      write(connection, c, now);
+    }
+  }
+
+  private void timedOut(Call c) {
+    if (c.ended()) {
+      return;
+    }
+    DiskConnection on = c.connection;
+    Result result = on == null
+        ? waiting.remove(c) ? Result.MOOT : Result.CONNECT_FAILED
+        : c.written ? Result.TIMEOUT : Result.CONNECT_FAILED;
+    c.end(result, now());
+    if (on != null) {
+      on.giveUp();
+    }
+  }
+
+  private void waitedLong(Call c) {
+    if (waiting.remove(c)) {
+      log.event("disk.no-connection-free", c.to.host, "open", open());
+      c.end(Result.MOOT, now());
+    }
+  }
+
+  /** A connection carries nothing now. */
+  void free(DiskConnection c) {
+    c.freeAt = now();
+    c.to.idle.addLast(c);
+  }
+
+  void closed(DiskConnection c) {
+    all.remove(c);
+    c.to.idle.remove(c);
+    serveWaiting();
+  }
+
+  private void serveWaiting() {
+    if (serving) {
+      return;
+    }
+    serving = true;
+    while (!waiting.isEmpty() && open() < most) {
+      dial(waiting.poll());
+    }
+    serving = false;
+  }
+
+  void spoilt(DiskServer to, String why) {
+    log.event("disk.spoilt", to.host, why);
+  }
+
+  void dirty(DiskServer to) {
+    log.event("disk.dirty", to.host, "bytes came that answer nothing");
+  }
+
+  /** Closes the connections to a disk server that carry nothing: its process or its address has changed, or
+   * it is gone. */
+  void dropIdle(DiskServer to) {
+    while (!to.idle.isEmpty()) {
+      to.idle.peekFirst().close();
+    }
+  }
+
+  /** To be called now and then: closes what the other side is about to close. */
+  void sweep() {
+    long now = now();
+    for (DiskConnection c : Set.copyOf(all)) {
+      if (c.usable() && now - c.freeAt >= idleUs && c.to.idle.contains(c)) {
+        c.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -0,0 +1,65 @@
+package hollyslip.platform;
+
+/** A client's request from when it was taken until its last attempt has ended. */
+final class Exchange {
+  /** Where the one final answer goes. */
+  interface Reply {
+    /** @param body
+     *          of a disk server's answer to this request */
+    void served(byte[] body);
+
+    /** @param retryInUs
+     *          0: no advice */
+    void refused(long retryInUs);
+
+    void failed();
+  }
+
+  final Ask ask;
+  final byte[] body;
+  /** The module's name for it. */
+  final long number;
+  /** When the client gives up, us on the module's clock. */
+  final long deadline;
+  private final Reply reply;
+  int attempts, out;
+  /** Answered, or its client has left. */
+  private boolean over;
+
+  Exchange(Ask ask, byte[] body, long number, long deadline, Reply reply) {
+    this.ask = ask;
+    this.body = body;
+    this.number = number;
+    this.deadline = deadline;
+    this.reply = reply;
+  }
+
+  boolean over() {
+    return over;
+  }
+
+  void left() {
+    over = true;
+  }
+
+  void serve(byte[] answer) {
+    if (!over) {
+      over = true;
+      reply.served(answer);
+    }
+  }
+
+  void refuse(long retryInUs) {
+    if (!over) {
+      over = true;
+      reply.refused(retryInUs);
+    }
+  }
+
+  void fail() {
+    if (!over) {
+      over = true;
+      reply.failed();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -0,0 +1,174 @@
+package hollyslip.platform;
+
+import hollyslip.Choice;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
+
+/** One scheduler of the platform, from its start to its end: one event loop owns sockets, timers and the
+ * module. */
+public final class Node implements AutoCloseable {
+  /** How long a start waits for discovery's first word before clients may come, ms: an old list serves better
+   * than none. */
+  private static final long FIRST_WORD_MS = 400;
+
+  /** How long connections are still taken after SIGTERM, ms: clients hear of it no later. */
+  private static final long TAKES_MS = 700;
+
+  /** How long an end waits beyond the longest deadline, us. */
+  private static final long LAST_US = 500_000;
+
+  private final Configuration configuration;
+  private final Map<String, String> environment;
+  private final Log log;
+  private final EventLoopGroup group;
+  private final EventLoop loop;
+  private final Clock clock = new Clock();
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private final DiskServers disks;
+  private final Desk desk;
+  private final Front front;
+  private final Discovery discovery;
+  private final InetSocketAddress listening;
+  private InetSocketAddress followed;
+  private boolean stopping;
+
+  /** Starts it; {@code environment} is read again at each reload. */
+  Node(Map<String, String> environment, PrintStream out) throws IOException, InterruptedException {
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    this.environment = environment;
+    log = new Log(out);
+    configuration = Configuration.read(environment);
+    followed = configuration.discovery();
+    group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
+    loop = (EventLoop) group.next();
+    Bounds bounds = Bounds.of(configuration.sockets(), Bounds.descriptorsHeld(), configuration.memoryMb());
+    disks = new DiskServers(loop, clock, log, bounds.disks(), configuration.settings()
+        .allowed()
+        .connectTimeoutUs(), configuration.idleCloseUs());
+    desk = new Desk(new Choice(configuration.settings()), configuration.settings(), loop, clock, log, disks,
+        bounds.bytes());
+    front = new Front(loop, clock, log, desk, new Ask.Reader(configuration.settings(), configuration
+        .shards()), bounds.clients());
+    long seq = configuration.known() == null ? -1 : configuration.known().seq();
+    discovery = new Discovery(loop, clock, log, followed, seq, this::news);
+    loop.submit(() -> {
+      if (configuration.known() != null) {
+        ListNews k = configuration.known();
+        desk.news(new ListNews(k.seq(), true, k.entries()));
+      }
+      discovery.start();
+    }).sync();
+    listening = (InetSocketAddress) front.listen(group, configuration.listen()).localAddress();
+    loop.schedule(this::ready, FIRST_WORD_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(disks::sweep, 1, 1, TimeUnit.SECONDS);
+    log.event("node.started", configuration.name(), listening, bounds);
+  }
+
+  /** Runs one scheduler until SIGTERM; gives the exit status by ending the process. */
+  public static void main(String[] args) throws InterruptedException {
+    Node node;
+    try {
+      node = new Node(System.getenv(), System.out);
+    } catch (IOException | RuntimeException e) {
+      System.err.println("configuration: " + e.getMessage());
+      System.exit(2);
+      return;
+    }
+    Signal.handle(new Signal("TERM"), s -> node.stop());
+    Signal.handle(new Signal("INT"), s -> node.stop());
+    Signal.handle(new Signal("HUP"), s -> node.reload());
+    node.ended.await();
+    System.exit(0);
+  }
+
+  /** Where clients connect. */
+  InetSocketAddress listening() {
+    return listening;
+  }
+
+  private void news(ListNews n) {
+    desk.news(n);
+    ready();
+  }
+
+  private void ready() {
+    if (!front.ready() && !stopping) {
+      front.setReady();
+      log.event("node.ready", configuration.name());
+    }
+  }
+
+  /** Reads the file again and follows the discovery that it names; other changes need a restart. One at a
+   * time: each signal has a thread of its own, and what an older one had read could be taken on last. */
+  synchronized void reload() {
+    try {
+      Configuration next = Configuration.read(environment);
+      loop.execute(() -> follow(next));
+    } catch (IOException | RuntimeException e) {
+      log.event("configuration.refused", e.getMessage());
+    }
+  }
+
+  private void follow(Configuration next) {
+    log.event("configuration.read", "discovery", next.discovery());
+    if (!next.settings().equals(configuration.settings())) {
+      log.event("configuration.ignored", "settings change by a restart only");
+    }
+    if (!next.discovery().equals(followed)) {
+      followed = next.discovery();
+      discovery.follow(followed);
+    }
+  }
+
+  /** Serves what comes for a while, asks clients to go elsewhere, answers everything, then ends. */
+  void stop() {
+    loop.execute(() -> {
+      if (stopping) {
+        return;
+      }
+      stopping = true;
+      log.event("node.stopping", "open", desk.open());
+      front.stop();
+      loop.schedule(front::closeListener, TAKES_MS, TimeUnit.MILLISECONDS);
+      long longest = configuration.settings()
+          .classes()
+          .stream()
+          .mapToLong(c -> c.deadlineUs())
+          .max()
+          .orElseThrow();
+      long until = clock.now() + TAKES_MS * 1000 + longest + LAST_US;
+      loop.scheduleAtFixedRate(() -> end(until), TAKES_MS + 20, 20, TimeUnit.MILLISECONDS);
+    });
+  }
+
+  private void end(long until) {
+    if (front.connections() == 0 || clock.now() >= until) {
+      log.event("node.ended", "open", desk.open(), "connections", front.connections());
+      ended.countDown();
+    }
+  }
+
+  /** Ends at once, as a kill would. */
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    ended.countDown();
+  }
+
+  /** Returns once it has ended. */
+  boolean awaitEnd(long ms) throws InterruptedException {
+    return ended.await(ms, TimeUnit.MILLISECONDS);
+  }
+}
--- a/src/test/java/hollyslip/ArchitectureTest.java
+++ b/src/test/java/hollyslip/ArchitectureTest.java
@@ -2,6 +2,8 @@
 
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
@@ -50,6 +52,8 @@
         .definedBy("hollyslip.emulator")
         .layer("gateway")
         .definedBy("hollyslip.gateway")
+        .layer("platform")
+        .definedBy("hollyslip.platform")
         .layer("cli")
         .definedBy("hollyslip.cli")
         .whereLayer("engine")
@@ -72,6 +76,8 @@
         .mayOnlyBeAccessedByLayers("cli")
         .whereLayer("gateway")
         .mayOnlyBeAccessedByLayers("load", "cli")
+        .whereLayer("platform")
+        .mayOnlyBeAccessedByLayers("cli")
         .whereLayer("cli")
         .mayNotBeAccessedByAnyLayer()
         .check(ALL);
@@ -88,6 +94,20 @@
         .check(ALL);
   }
 
+  /** The platform's process is small: it knows the module, and nothing of the gateway or its libraries. */
+  @Test
+  void thePlatformKnowsOnlyTheModule() {
+    ArchRuleDefinition.noClasses()
+        .that()
+        .resideInAPackage("hollyslip.platform")
+        .should()
+        .dependOnClassesThat(JavaClass.Predicates.resideInAnyPackage("hollyslip.*..", "io.vertx..",
+            "com.sun.jna..", "org.slf4j..", "ch.qos..", "picocli..")
+            .and(DescribedPredicate.not(
+                JavaClass.Predicates.resideInAPackage("hollyslip.platform"))))
+        .check(ALL);
+  }
+
   /** What decides is free of I/O, clock and threads. */
   @Test
   void decisionsDoNoIo() {
