Idle client connections go by the dozen once three quarters of the places are taken

At fault: Front.makeRoom closed one idle connection each 100 ms while some 70 a second came; a third of the descriptors lay reserved for disk servers of which 31 were used at most.

--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -18,11 +18,11 @@
   /** Longest body of a request or an answer, bytes: the protocol's. */
   static final int BODY = 64 << 10;
 
-  /** Of what the process may hold and does not hold yet, clients get three fifths: nearly twice the third
-   * that the platform's usual clients take. */
+  /** Of what the process may hold and does not hold yet, clients get three quarters: they come by the
+   * hundreds, strangers among them, while the module keeps what is out at a disk server to some tens. */
   static Bounds of(int sockets, int held, int memoryMb) {
     int room = Math.max(8, sockets - held - SPARE);
-    int clients = room * 3 / 5;
+    int clients = room * 3 / 4;
     return new Bounds(clients, room - clients, memoryMb * (1L << 20) / 16);
   }
 
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -64,7 +64,9 @@
             ClientConnection c = new ClientConnection(Front.this, ch);
             all.add(c);
             c.open();
-            makeRoom();
+            if (all.size() >= most) {
+              makeRoom();
+            }
           }
         })
         .bind(at)
@@ -125,18 +127,22 @@
     }
   }
 
-  /** When all places are taken, connections that were idle for long enough go, longest first; while there are
-   * none, new ones wait in the system's queue. Guards descriptors that disk servers need against strangers
-   * who come by the hundreds. Harm: an ordinary client that comes then waits. */
+  /** Once most places are taken, connections that were idle for long enough go, longest first; while none is
+   * free, new ones wait in the system's queue. Guards places that ordinary clients need against strangers who
+   * come by the hundreds and say nothing, and against clients that ask once and stay. Harm: an ordinary
+   * client whose kept connection went connects anew. */
   private void makeRoom() {
-    if (all.size() < most) {
+    int much = most * 3 / 4;
+    if (all.size() <= much) {
       return;
     }
     long now = now();
     all.stream()
         .filter(c -> c.idleSince() >= 0 && now - c.idleSince() >= IDLE_US)
-        .min((a, b) -> Long.compare(a.idleSince(), b.idleSince()))
-        .ifPresent(ClientConnection::close);
+        .sorted((a, b) -> Long.compare(a.idleSince(), b.idleSince()))
+        .limit(all.size() - much)
+        .toList()
+        .forEach(ClientConnection::close);
     if (all.size() >= most && !full) {
       full = true;
       listener.config().setAutoRead(false);
@@ -147,8 +153,6 @@
   private void sweep() {
     long now = now();
     List.copyOf(all).forEach(c -> c.sweep(now));
-    if (full) {
-      makeRoom();
-    }
+    makeRoom();
   }
 }
