--- a/src/main/java/hollyslip/cli/Main.java
+++ b/src/main/java/hollyslip/cli/Main.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
+import picocli.CommandLine.Option;
 
 /** Entry of the jar. */
 @Command(name = "hollyslip", mixinStandardHelpOptions = true, version = "hollyslip 0.2.0", description = "A storage gateway that schedules a host's reads and writes across storage nodes.", subcommands = {
@@ -29,7 +30,7 @@
       WireHost.main(args);
       return;
     }
-    if (args.length == 1 && args[0].equals("platform")) {
+    if (args.length > 0 && args[0].equals("platform") && (args.length == 1 || args[1].equals("--rehearse"))) {
       Node.main(args);
       return;
     }
@@ -55,8 +56,11 @@
   /** Listed for the help; {@link #main} runs it. */
   @Command(name = "platform", description = "Runs one scheduler on the platform, told what it needs by PROXY_CONFIG and the variables beside it (docs/platform.md), until SIGTERM.")
   static final class Platform implements Callable<Integer> {
+    @Option(names = "--rehearse", description = "play against a peer of its own on loopback, then end: for the class archive that the build makes")
+    boolean rehearse;
+
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() throws IOException, InterruptedException {
       Node.main(new String[]{"platform"});
       return DONE;
     }
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -23,8 +23,9 @@
    * than none. */
   private static final long FIRST_WORD_MS = 400;
 
-  /** How long connections are still taken after SIGTERM, ms: clients hear of it no later. */
-  private static final long TAKES_MS = 700;
+  /** How long connections are still taken after SIGTERM, ms: by then clients come no more, and the sooner it
+   * ends the sooner its successor starts. */
+  private static final long TAKES_MS = 450;
 
   /** How long an end waits beyond the longest deadline, us. */
   private static final long LAST_US = 500_000;
@@ -76,8 +77,13 @@
     log.event("node.started", configuration.name(), listening, bounds);
   }
 
-  /** Runs one scheduler until SIGTERM; gives the exit status by ending the process. */
-  public static void main(String[] args) throws InterruptedException {
+  /** Runs one scheduler until SIGTERM; gives the exit status by ending the process. With {@code --rehearse}
+   * it runs a {@link Rehearsal} instead. */
+  public static void main(String[] args) throws IOException, InterruptedException {
+    if (args.length > 1 && args[1].equals("--rehearse")) {
+      Rehearsal.run();
+      return;
+    }
     Node node;
     try {
       node = new Node(System.getenv(), System.out);
