A request never sent is given up at half its client's time; volumes at rest are forgotten

At fault: Choice.turn waited for the deadline whatever had been sent. SIGTERM: kept connections are served until the platform's kill nears, what is taken then is answered before it.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -15,17 +15,12 @@
   /** Allocation period, us: the document's 100 ms. */
   static final long PERIOD = 100_000;
 
-  /** Window of a fresh node, requests: a few, as the design page says. */
-  static final double WINDOW_START = 4;
+  /** Window of a fresh node and its ceiling, requests: a few, and what the design page says. */
+  static final double WINDOW_START = 4, WINDOW_MAX = 32;
 
-  /** The window's ceiling, requests, from the design page. */
-  static final double WINDOW_MAX = 32;
-
-  /** The window widens while latency stays under this multiple of the usual one... */
-  static final double NEAR_USUAL = 1.6;
-
-  /** ...and narrows above this one; between the two it rests, so that noise does not move it. */
-  static final double FAR_FROM_USUAL = 2.4;
+  /** The window widens while latency stays under the first multiple of the usual one and narrows above the
+   * second; between the two it rests, so that noise does not move it. */
+  static final double NEAR_USUAL = 1.6, FAR_FROM_USUAL = 2.4;
 
   /** Part of the shortest aim below which latencies tell of no queue, however they differ, and a window's
    * whole part counts as full: nodes that answer in microseconds jitter by several times and take all a host
@@ -54,36 +49,32 @@
    * lose what earns little; harm: where they do not, a late answer is missed. */
   static final double GIVE_UP = 0.5;
 
-  /** Weight of one more silence in what they mean. */
-  static final double LOST_GAIN = 0.2;
-
-  /** Least weight of a new latency in the estimate: about the last ten answers of a node often used. */
-  static final double LATENCY_GAIN = 0.1;
+  /** Weight of one more silence in what they mean; least weight of a new latency in the estimate: about the
+   * last ten answers of a node often used. */
+  static final double LOST_GAIN = 0.2, LATENCY_GAIN = 0.1;
 
   /** Latency taken as usual before any answer, us: a disk request. */
   static final double LATENCY_GUESS = 40_000;
 
-  /** Depth of a volume's bucket, in mean requests: the paper's three tokens. */
-  static final double BUCKET_DEPTH = 3;
-
-  /** Part of a quiet volume's record kept each period: half is gone after 3.4 s. */
-  static final double RECORD_KEEP = 0.98;
+  /** Depth of a volume's bucket, in mean requests: the paper's three tokens. Part of a quiet volume's record
+   * kept each period: half is gone after 3.4 s. */
+  static final double BUCKET_DEPTH = 3, RECORD_KEEP = 0.98;
 
   /** A volume unheard of for this long is forgotten at a node, us: longer than surges last. */
   static final long FORGET = 60_000_000;
 
-  /** Pause after an attempt that a node turned away full or failed, us: a few service times. */
-  static final long RETRY_PAUSE = 30_000;
+  /** Part of its client's time after which a request that was never sent is given up: the rest is the
+   * client's, to ask again. Harm: an answer that might have come late does not. */
+  static final double HELD = 0.5;
+
+  /** Pauses, us: after an attempt that a node turned away or failed, a few service times; until a held
+   * request that a guard stops is looked at again; before the list is asked for again, which is load, after a
+   * failed call. */
+  static final long RETRY_PAUSE = 30_000, POLL = 10_000, LIST_RETRY = 500_000;
 
   /** Refused connections in a row that tell of a node that is down, rather than out of connections. */
   static final int DOWN_AFTER = 2;
 
-  /** How soon a held request that a guard stops is looked at again, us. */
-  static final long POLL = 10_000;
-
-  /** Pause before the list is asked for again after a failed call, us: the call is load on discovery. */
-  static final long LIST_RETRY = 500_000;
-
   /** Safety margin on the window of a keyed class, us: more than a message is under way. */
   static final long KEYED_MARGIN = 20_000;
 
@@ -95,27 +86,24 @@
   /** All, and those that hold requests: what an event costs must not grow with the fleet. */
   private final Map<Long, Node> nodes = new TreeMap<>(), holders = new TreeMap<>();
   private final Map<Long, Pending> pendings = new LinkedHashMap<>();
-  private final Map<Long, Limit> limits = new HashMap<>();
-  private final Map<Long, Limit> reserves = new HashMap<>();
+  private final Map<Long, Limit> limits = new HashMap<>(), reserves = new HashMap<>();
   private final Map<Long, KeyLine> lines = new HashMap<>();
   /** Volumes that stand on plans of their own, and those that go with their last request. */
   private final Map<Long, VolumeChanged> terms = new HashMap<>();
   private final Set<Long> leaving = new HashSet<>();
   private final TreeMap<Long, Pending> unplaced = new TreeMap<>();
   private final TreeSet<Pending> byDeadline = new TreeSet<>(Comparator.<Pending>comparingLong(
-      p -> p.deadline).thenComparingLong(p -> p.seq));
+      p -> p.answerBy).thenComparingLong(p -> p.seq));
   private final SplittableRandom random;
   private final Budget budget;
-  private final double shortestAim;
+  private final double shortestAim, mostWorth;
   private Consumer<Action> out;
   private double mostValue;
-  private final double mostWorth;
   private double usual = LATENCY_GUESS;
   /** Part of silences, of any node, that only lost an answer: the next one from there came soon. */
   private double lost;
-  private long now, seq, periodEnd;
-  private long launchedAt = Long.MIN_VALUE;
-  private long timerAt = Long.MAX_VALUE, listRetryAt = Long.MAX_VALUE;
+  private long now, seq, periodEnd, sweepAt;
+  private long launchedAt = Long.MIN_VALUE, timerAt = Long.MAX_VALUE, listRetryAt = Long.MAX_VALUE;
   private boolean blocked;
 
   public Choice(Settings settings) {
@@ -167,6 +155,10 @@
     private double depth, rate, level;
     private long at;
 
+    Limit(Plan plan, int hosts, long at) {
+      this(plan.limit() / hosts, plan.limitBurst() / hosts, 0, at);
+    }
+
     Limit(double perSecond, double depth, double level, long at) {
       this.depth = depth;
       this.level = level;
@@ -188,6 +180,10 @@
       return level >= units;
     }
 
+    boolean full(long now) {
+      return rate <= 0 || allows(depth, now);
+    }
+
     void add(double units) {
       level = Math.min(depth, level + units);
     }
@@ -196,12 +192,9 @@
   /** Requests of one volume that earn the same and may go by the same limit and budget; in it, by aim. */
   record Sort(String className, double units, boolean again, boolean paid) {}
 
-  record Aim(long at, long seq) implements Comparable<Aim> {
-    @Override
-    public int compareTo(Aim o) {
-      return at != o.at ? Long.compare(at, o.at) : Long.compare(seq, o.seq);
-    }
-  }
+  record Aim(long at, long seq) {}
+
+  static final Comparator<Aim> BY_AIM = Comparator.comparingLong(Aim::at).thenComparingLong(Aim::seq);
 
   /** A request until its final answer is given and its last attempt has ended. */
   static final class Pending {
@@ -221,7 +214,7 @@
     Volume at;
     Sort sort;
     int attempts, out;
-    long notBefore, sentAt;
+    long notBefore, sentAt, answerBy;
     boolean done, streaming, overdue, paid;
 
     /** Where and when the first attempt went that is out or may have run; null while nothing may have run. */
@@ -240,6 +233,7 @@
       this.chance = chance;
       cameAt = now;
       deadline = now + request.remainingUs();
+      answerBy = now + (long) (HELD * request.remainingUs());
       aimAt = now + rules.aimUs() - (most - request.remainingUs());
       aim = new Aim(aimAt, seq);
     }
@@ -326,7 +320,7 @@
     /** Those that hold requests, and those that asked in this period: what is done costs by these, not by all
      * that were ever seen. */
     final Set<Volume> holding = new LinkedHashSet<>(), asking = new LinkedHashSet<>();
-    long periods, sweepAt;
+    long periods;
     NodeState state = NodeState.GONE;
     /** When it came up, as this host believes and as the list said last; the first may be later. */
     long born, listedBorn;
@@ -509,7 +503,7 @@
     void hold(Pending p) {
       p.at = volume(p);
       p.sort = new Sort(p.rules.name(), p.request.units(), p.attempts > 0, p.paid);
-      p.at.held.computeIfAbsent(p.sort, k -> new TreeMap<>()).put(p.aim, p);
+      p.at.held.computeIfAbsent(p.sort, k -> new TreeMap<>(BY_AIM)).put(p.aim, p);
       holding.add(p.at);
       p.node = this;
       if (held++ == 0) {
@@ -544,10 +538,6 @@
         v.faded++;
       }
       periods++;
-      if (now >= sweepAt) {
-        volumes.values().removeIf(v -> v.held.isEmpty() && now - v.lastAsked > FORGET);
-        sweepAt = now + FORGET / 4;
-      }
       if (active.isEmpty()) {
         return;
       }
@@ -582,8 +572,7 @@
 
   /** Equations 3 to 8: surplus is pooled and shared by the distribution factor; records follow. */
   static void redistribution(List<Volume> active) {
-    double pool = 0;
-    double factors = 0;
+    double pool = 0, factors = 0;
     for (Volume v : active) {
       v.u = !v.known ? 1 : v.lastAlpha > 0 ? v.d / v.lastAlpha : Math.max(1, v.d);
       v.lent = Math.max(0, v.alpha - v.d);
@@ -601,8 +590,7 @@
 
   /** Equations 9 to 20: borrowers give back to lenders, at most what they owed before sharing. */
   static void recompensation(List<Volume> active) {
-    double c = 0;
-    double factors = 0;
+    double c = 0, factors = 0;
     for (Volume v : active) {
       if (lender(v)) {
         double ahead = v.alpha > 0 ? v.d / v.alpha : 1;
@@ -686,7 +674,7 @@
     } else if (limit != null) {
       limit.change(plan.limit() / c.hosts(), plan.limitBurst() / c.hosts(), now);
     } else {
-      limits.put(c.volume(), limit(plan, c.hosts(), now));
+      limits.put(c.volume(), new Limit(plan, c.hosts(), now));
     }
     Limit reserve = reserves.get(c.volume());
     if (reserve != null) {
@@ -726,17 +714,13 @@
     }
   }
 
-  private static Limit limit(Plan plan, int hosts, long from) {
-    return new Limit(plan.limit() / hosts, plan.limitBurst() / hosts, 0, from);
-  }
-
   private double reserveDepth(Plan plan, int hosts) {
     return plan.reserve() / hosts + settings.store().mostUnits();
   }
 
   /** What every event ends with: answers due, the period, releases, the timer for the earliest need. */
   private void turn() {
-    while (!byDeadline.isEmpty() && byDeadline.first().deadline - settings.tickUs() <= now) {
+    while (!byDeadline.isEmpty() && byDeadline.first().answerBy - settings.tickUs() <= now) {
       Pending p = byDeadline.pollFirst();
       if (!p.streaming) {
         end(p);
@@ -749,6 +733,7 @@
     if (now >= periodEnd) {
       nodes.values().forEach(Node::allocate);
       periodEnd = now + PERIOD;
+      sweep();
     }
     blocked = false;
     if (!holders.isEmpty()) {
@@ -757,10 +742,23 @@
     arm();
   }
 
+  /** Forgets volumes that hold nothing, as new ones come for ever: a full bucket is as good as a new one. */
+  private void sweep() {
+    if (now >= sweepAt) {
+      sweepAt = now + FORGET / 4;
+      Set<Long> busy = new HashSet<>();
+      pendings.values().forEach(p -> busy.add(p.request.volume()));
+      List.of(limits, reserves)
+          .forEach(m -> m.entrySet().removeIf(e -> !busy.contains(e.getKey()) && e.getValue().full(now)));
+      nodes.values()
+          .forEach(n -> n.volumes.values().removeIf(v -> v.held.isEmpty() && now - v.lastAsked > FORGET));
+    }
+  }
+
   private void arm() {
     long at = Math.min(periodEnd, listRetryAt);
     if (!byDeadline.isEmpty()) {
-      at = Math.min(at, byDeadline.first().deadline - settings.tickUs());
+      at = Math.min(at, byDeadline.first().answerBy - settings.tickUs());
     }
     if (blocked) {
       at = Math.min(at, now + POLL);
@@ -811,10 +809,9 @@
       return;
     }
     int hosts = own != null ? own.hosts() : r.hosts() > 0 ? r.hosts() : settings.hosts();
-    Limit limit = null;
-    if (plan.limit() > 0) {
-      limit = limits.computeIfAbsent(r.volume(), k -> limit(plan, hosts, launchedAt));
-    }
+    Limit limit = plan.limit() <= 0
+        ? null
+        : limits.computeIfAbsent(r.volume(), k -> new Limit(plan, hosts, launchedAt));
     double depth = reserveDepth(plan, hosts);
     Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
         now));
@@ -930,8 +927,7 @@
     if (a == b) {
       return p.aimAt != q.aimAt ? p.aimAt < q.aimAt : p.seq < q.seq;
     }
-    double dueA = a.dueAt(p.request.units());
-    double dueB = b.dueAt(q.request.units());
+    double dueA = a.dueAt(p.request.units()), dueB = b.dueAt(q.request.units());
     if (dueA <= now != dueB <= now) {
       return dueA <= now;
     }
@@ -972,6 +968,9 @@
 
   private void send(Node n, Pending p) {
     n.unhold(p);
+    byDeadline.remove(p);
+    p.answerBy = p.deadline;
+    byDeadline.add(p);
     Volume v = p.at;
     v.fill(now);
     v.tokens -= p.request.units();
@@ -1058,10 +1057,10 @@
     boolean never = p.doubtNode != null && p.rules.effect() == Effect.UNSAFE;
     if (last || never || o.result() == Result.CANCELLED) {
       end(p);
-      return;
+    } else {
+      p.notBefore = now + RETRY_PAUSE;
+      place(p);
     }
-    p.notBefore = now + RETRY_PAUSE;
-    place(p);
   }
 
   private void end(Pending p) {
--- a/src/main/java/hollyslip/platform/Ask.java
+++ b/src/main/java/hollyslip/platform/Ask.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** A client's request as its head tells it, checked against the settings; no I/O.
  *
@@ -26,8 +27,13 @@
     String idempotencyKey, long remainingUs, long volume, double units, int shard, int hosts, boolean again,
     int bodyLength) {
 
-  /** Characters of an id at most, and of an idempotency key. */
-  private static final int MOST_ID = 64, MOST_KEY = 256;
+  /** Characters of an idempotency key at most. */
+  private static final int MOST_KEY = 256;
+
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}"), ID = Pattern.compile(
+      "[0-9A-Za-z_-]{1,64}"), DECIMAL = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,9})?"), WHOLE = Pattern
+          .compile(
+              "-?[0-9]{1,8}"), HEX = Pattern.compile("[0-9a-fA-F]{16}");
 
   /** What a head is refused with. */
   static final class Refused extends Exception {
@@ -125,7 +131,7 @@
     if (lengths.isEmpty()) {
       return 0;
     }
-    if (lengths.size() > 1 || !lengths.get(0).matches("[0-9]{1,18}")) {
+    if (lengths.size() > 1 || !LENGTH.matcher(lengths.get(0)).matches()) {
       throw new Refused(HttpResponseStatus.BAD_REQUEST, "Content-Length", true);
     }
     long length = Long.parseLong(lengths.get(0));
@@ -137,7 +143,7 @@
 
   private static String id(HttpHeaders h) throws Refused {
     String id = needed(h, "X-Txn");
-    if (!id.matches("[0-9A-Za-z_-]{1," + MOST_ID + "}")) {
+    if (!ID.matcher(id).matches()) {
       throw bad("X-Txn");
     }
     return id;
@@ -190,21 +196,21 @@
   }
 
   private static BigDecimal decimal(String text, String field) throws Refused {
-    if (text == null || !text.matches("[0-9]{1,15}(\\.[0-9]{1,9})?")) {
+    if (text == null || !DECIMAL.matcher(text).matches()) {
       throw bad(field);
     }
     return new BigDecimal(text);
   }
 
   private static int whole(String text, String field) throws Refused {
-    if (text == null || !text.matches("-?[0-9]{1,8}")) {
+    if (text == null || !WHOLE.matcher(text).matches()) {
       throw bad(field);
     }
     return Integer.parseInt(text);
   }
 
   private static long hex(String text, String field) throws Refused {
-    if (text == null || !text.matches("[0-9a-fA-F]{16}")) {
+    if (text == null || !HEX.matcher(text).matches()) {
       throw bad(field);
     }
     return Long.parseUnsignedLong(text, 16);
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -43,6 +43,7 @@
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private boolean running;
   private long lastNumber, lastServer, bytes;
+  private long answerBy = Long.MAX_VALUE;
 
   Desk(HostScheduler module, Settings settings, EventLoop loop, Clock clock, Log log, DiskServers disks,
       long mostBytes) {
@@ -71,9 +72,15 @@
     return byNumber.size();
   }
 
+  /** What is taken from now on is answered by then, us: the process ends. */
+  void answerAllBy(long at) {
+    answerBy = at;
+  }
+
   /** Takes a request whose last byte came at {@code cameAt}, us; its id must not be open. */
   Exchange take(Ask ask, byte[] body, long cameAt, Exchange.Reply reply) {
-    Exchange x = new Exchange(ask, body, ++lastNumber, cameAt + ask.remainingUs(), reply);
+    long deadline = Math.min(cameAt + ask.remainingUs(), answerBy);
+    Exchange x = new Exchange(ask, body, ++lastNumber, deadline, reply);
     byId.put(ask.id(), x);
     byNumber.put(x.number, x);
     bytes += body.length;
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -104,13 +104,10 @@
     ready = true;
   }
 
-  /** Answers end their connections from now on. */
-  void stop() {
+  /** The end is near: takes no further connection, ends those that carry nothing, and the others with their
+   * next answer. */
+  void part() {
     stopping = true;
-  }
-
-  /** Takes no further connection, and ends those that carry nothing. */
-  void closeListener() {
     listener.close();
     List.copyOf(all).stream().filter(ClientConnection::quiet).forEach(ClientConnection::close);
   }
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -23,12 +23,16 @@
    * than none. */
   private static final long FIRST_WORD_MS = 400;
 
-  /** How long connections are still taken after SIGTERM, ms: by then clients come no more, and the sooner it
-   * ends the sooner its successor starts. */
-  private static final long TAKES_MS = 450;
+  /** The platform kills no sooner after SIGTERM than the longest deadline, counted as this where it is
+   * longer, and 0.7 s more, us. */
+  private static final long LONGEST_COUNTED_US = 3_000_000;
 
-  /** How long an end waits beyond the longest deadline, us. */
-  private static final long LAST_US = 500_000;
+  /** What is taken after SIGTERM is answered so long after that deadline, us: 0.2 s before the kill. */
+  private static final long ANSWERED_US = 500_000;
+
+  /** How long before that connections that carry nothing are closed and answers end theirs, us: until then
+   * clients are served on the connections that they keep, as they have no other way here. */
+  private static final long PARTING_US = 400_000;
 
   private final Configuration configuration;
   private final Map<String, String> environment;
@@ -110,7 +114,7 @@
   }
 
   private void ready() {
-    if (!front.ready() && !stopping) {
+    if (!front.ready()) {
       front.setReady();
       log.event("node.ready", configuration.name());
     }
@@ -138,30 +142,35 @@
     }
   }
 
-  /** Serves what comes for a while, asks clients to go elsewhere, answers everything, then ends. */
+  /** Serves what comes for as long as the platform leaves, asks clients to go elsewhere, answers everything,
+   * then ends. */
   void stop() {
     loop.execute(() -> {
       if (stopping) {
         return;
       }
       stopping = true;
-      log.event("node.stopping", "open", desk.open());
-      front.stop();
-      loop.schedule(front::closeListener, TAKES_MS, TimeUnit.MILLISECONDS);
       long longest = configuration.settings()
           .classes()
           .stream()
           .mapToLong(c -> c.deadlineUs())
           .max()
           .orElseThrow();
-      long until = clock.now() + TAKES_MS * 1000 + longest + LAST_US;
-      loop.scheduleAtFixedRate(() -> end(until), TAKES_MS + 20, 20, TimeUnit.MILLISECONDS);
+      long answeredAfter = Math.min(longest, LONGEST_COUNTED_US) + ANSWERED_US;
+      log.event("node.stopping", "open", desk.open());
+      desk.answerAllBy(clock.now() + answeredAfter);
+      loop.schedule(this::part, answeredAfter - PARTING_US, TimeUnit.MICROSECONDS);
     });
   }
 
-  private void end(long until) {
-    if (front.connections() == 0 || clock.now() >= until) {
-      log.event("node.ended", "open", desk.open(), "connections", front.connections());
+  private void part() {
+    front.part();
+    loop.scheduleAtFixedRate(this::endIfDone, 0, 10, TimeUnit.MILLISECONDS);
+  }
+
+  private void endIfDone() {
+    if (front.connections() == 0) {
+      log.event("node.ended", "open", desk.open());
       ended.countDown();
     }
   }
