--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -7,11 +7,13 @@
  *
  * @param clients
  *          connections of clients
+ * @param idleClients
+ *          of them that carry nothing, beyond which those go that were idle for long
  * @param disks
  *          connections to disk servers, those that are coming up too
  * @param bytes
  *          of request bodies held at a time */
-record Bounds(int clients, int disks, long bytes) {
+record Bounds(int clients, int idleClients, int disks, long bytes) {
   /** Descriptors kept free beside both: discovery's old and new connection, and files opened now and then. */
   private static final int SPARE = 10;
 
@@ -23,7 +25,7 @@
   static Bounds of(int sockets, int held, int memoryMb) {
     int room = Math.max(8, sockets - held - SPARE);
     int clients = room * 3 / 4;
-    return new Bounds(clients, room - clients, memoryMb * (1L << 20) / 16);
+    return new Bounds(clients, clients / 5, room - clients, memoryMb * (1L << 20) / 16);
   }
 
   /** Descriptors that the process holds now. */
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -37,18 +38,19 @@
   private final Log log;
   private final Desk desk;
   private final Ask.Reader reader;
-  private final int most;
+  private final int most, mayIdle;
   private final Set<ClientConnection> all = new LinkedHashSet<>();
   private Channel listener;
   private boolean ready, stopping, full;
 
-  Front(EventLoop loop, Clock clock, Log log, Desk desk, Ask.Reader reader, int most) {
+  Front(EventLoop loop, Clock clock, Log log, Desk desk, Ask.Reader reader, Bounds bounds) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.desk = desk;
     this.reader = reader;
-    this.most = most;
+    most = bounds.clients();
+    mayIdle = bounds.idleClients();
   }
 
   /** Starts to listen; {@code group} holds the event loop alone. */
@@ -65,7 +67,7 @@
             all.add(c);
             c.open();
             if (all.size() >= most) {
-              makeRoom();
+              makeRoom(now());
             }
           }
         })
@@ -124,22 +126,23 @@
     }
   }
 
-  /** Once most places are taken, connections that were idle for long enough go, longest first; while none is
-   * free, new ones wait in the system's queue. Guards places that ordinary clients need against strangers who
-   * come by the hundreds and say nothing, and against clients that ask once and stay. Harm: an ordinary
-   * client whose kept connection went connects anew. */
-  private void makeRoom() {
-    int much = most * 3 / 4;
-    if (all.size() <= much) {
-      return;
+  /** Connections that were idle for long enough go, longest first, but for some that may stay; while no place
+   * is free, new ones wait in the system's queue. Guards places against strangers who come by the hundreds
+   * and say nothing, and against clients that ask once and stay: their own side's places are as few. Harm: an
+   * ordinary client whose kept connection went connects anew. */
+  private void makeRoom(long now) {
+    int idle = 0;
+    for (ClientConnection c : all) {
+      idle += c.idleSince() >= 0 ? 1 : 0;
+    }
+    if (idle > mayIdle) {
+      all.stream()
+          .filter(c -> c.idleSince() >= 0 && now - c.idleSince() >= IDLE_US)
+          .sorted(Comparator.comparingLong(ClientConnection::idleSince))
+          .limit(idle - mayIdle)
+          .toList()
+          .forEach(ClientConnection::close);
     }
-    long now = now();
-    all.stream()
-        .filter(c -> c.idleSince() >= 0 && now - c.idleSince() >= IDLE_US)
-        .sorted((a, b) -> Long.compare(a.idleSince(), b.idleSince()))
-        .limit(all.size() - much)
-        .toList()
-        .forEach(ClientConnection::close);
     if (all.size() >= most && !full) {
       full = true;
       listener.config().setAutoRead(false);
@@ -150,6 +153,6 @@
   private void sweep() {
     long now = now();
     List.copyOf(all).forEach(c -> c.sweep(now));
-    makeRoom();
+    makeRoom(now);
   }
 }
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -65,7 +65,7 @@
     desk = new Desk(new Choice(configuration.settings()), configuration.settings(), loop, clock, log, disks,
         bounds.bytes());
     front = new Front(loop, clock, log, desk, new Ask.Reader(configuration.settings(), configuration
-        .shards()), bounds.clients());
+        .shards()), bounds);
     long seq = configuration.known() == null ? -1 : configuration.known().seq();
     discovery = new Discovery(loop, clock, log, followed, seq, this::news);
     loop.submit(() -> {
