--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -63,8 +63,8 @@
   /** A volume unheard of for this long is forgotten at a node, us: longer than surges last. */
   static final long FORGET = 60_000_000;
 
-  /** Part of its client's time after which a request that was never sent is given up: the rest is the
-   * client's, to ask again. Harm: an answer that might have come late does not. */
+  /** Part of its client's time after which a request that was never sent is given up, if its aim's length has
+   * not passed before: the rest is the client's, to ask again. Harm: what might have come late does not. */
   static final double HELD = 0.5;
 
   /** Pauses, us: after an attempt that a node turned away or failed, a few service times; until a held
@@ -233,7 +233,7 @@
       this.chance = chance;
       cameAt = now;
       deadline = now + request.remainingUs();
-      answerBy = now + (long) (HELD * request.remainingUs());
+      answerBy = now + Math.min((long) (HELD * request.remainingUs()), rules.aimUs());
       aimAt = now + rules.aimUs() - (most - request.remainingUs());
       aim = new Aim(aimAt, seq);
     }
