--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -72,6 +72,11 @@
     return byNumber.size();
   }
 
+  /** Disk servers that are listed or have calls. */
+  int servers() {
+    return servers.size();
+  }
+
   /** What is taken from now on is answered by then, us: the process ends. */
   void answerAllBy(long at) {
     answerBy = at;
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -108,6 +108,15 @@
     return listening;
   }
 
+  /** Requests that have not ended; disk servers that are remembered. */
+  int open() {
+    return desk.open();
+  }
+
+  int servers() {
+    return desk.servers();
+  }
+
   private void news(ListNews n) {
     desk.news(n);
     ready();
--- /dev/null
+++ b/src/test/java/hollyslip/HeldTest.java
@@ -0,0 +1,71 @@
+package hollyslip;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import hollyslip.HostScheduler.*;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** How long the module keeps a request that it never sent, and what it keeps of volumes. */
+class HeldTest {
+  private static final long START = 50_000_000;
+
+  private static Request read(long id, long volume, long remainingUs) {
+    return new Request(id, "read", "limited", 5L, volume, 2, 77, 2, remainingUs, false);
+  }
+
+  /** What follows from a request that no node can take, with the time of its answer. */
+  private static long answeredAfter(long remainingUs) {
+    Choice c = new Choice(Worlds.settings());
+    List<Action> all = new ArrayList<>();
+    c.handle(START, new NodeList(true, List.of(Worlds.node(1, 0, NodeState.ON, 0))), all::add);
+    c.handle(START, read(1, 9, remainingUs), all::add);
+    long now = START;
+    while (!all.contains(new Refuse(1, 0))) {
+      now += 1_000;
+      c.handle(now, new TimerDue(0), all::add);
+    }
+    return now - START;
+  }
+
+  @Test
+  void aRequestThatWasNeverSentIsGivenUpOnceItsAimHasPassed() {
+    assertEquals(Worlds.SAFE.aimUs() - 2_000, answeredAfter(2_000_000), 1_000);
+  }
+
+  @Test
+  void itsClientKeepsHalfOfAShortTime() {
+    assertTrue(answeredAfter(300_000) <= 150_000);
+  }
+
+  @Test
+  void volumesThatAskNoMoreAreForgotten() throws Exception {
+    Choice c = new Choice(Worlds.settings());
+    long now = START;
+    c.handle(now, new NodeList(true, List.of(Worlds.node(1, 77, NodeState.ON, 0))), a -> {});
+    int most = 0;
+    for (int i = 0; i < 20_000; i++) {
+      now += 10_000;
+      List<Action> all = new ArrayList<>();
+      c.handle(now, read(i, 1_000_000 + i, 2_000_000), all::add);
+      for (Action a : List.copyOf(all)) {
+        if (a instanceof Send s) {
+          c.handle(now + 1_000, new Outcome(s.request(), 0, s.node(), Result.OK, true, 1_000, 0, 0, null),
+              all::add);
+        }
+      }
+      most = Math.max(most, size(c, "limits") + size(c, "reserves"));
+    }
+    assertTrue(most < 6_000, "" + most);
+    assertTrue(size(c, "pendings") < 100);
+  }
+
+  private static int size(Choice c, String field) throws ReflectiveOperationException {
+    var f = Choice.class.getDeclaredField(field);
+    f.setAccessible(true);
+    return ((Map<?, ?>) f.get(c)).size();
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/platform/FrontTest.java
@@ -0,0 +1,255 @@
+package hollyslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients on loopback: what is taken, what is refused, what a disk server gets to see of it. */
+@Timeout(60)
+class FrontTest {
+  @Test
+  void aWriteIsSentOnAnewAndItsAnswerComesBackWhole() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      client.send(Site.write("put", "9b1f03aa5c7e2d41", "k-1", "some bytes"));
+      Peer.Came c = site.disk.next();
+      assertTrue(c.head().startsWith("PUT /put/00/7f3a9c21e0b4d655?a=%20b HTTP/1.1\r\n"), c.head());
+      assertEquals("9b1f03aa5c7e2d41", c.header("X-Txn"));
+      assertEquals("k-1", c.header("Idempotency-Key"));
+      assertTrue(c.header("X-Remaining").matches("[0-9]+u"), c.head());
+      assertNull(c.header("X-Plan"));
+      assertEquals("some bytes", c.body());
+      c.ok("stored\r\n\r\n\0");
+      assertTrue(client.answer().endsWith("\r\n\r\nstored\r\n\r\n\0"));
+    }
+  }
+
+  static List<String> refused() {
+    String read = Site.read("t1"), write = Site.write("put", "t1", "k", "body");
+    List<String> bad = new ArrayList<>(List.of(read.replace("/get/", "/nothing/"), read.replace("gold",
+        "lead"), read.replace("X-Txn: t1\r\n", ""), read.replace("t1", "a b"), read.replace("X-Txn: t1",
+            "X-Txn: t1\r\nX-Txn: t2"), read.replace("X-Plan: gold\r\n", ""), read.replace("units=2",
+                "units=NaN"), read.replace("units=2", "units=7"), read.replace("units=2", "units=0"), read
+                    .replace("units=2", "units=-1"), read.replace("units=2,", ""), read.replace("shard=0",
+                        "shard=3"), read.replace("shard=0", "shard=-2"), read.replace("hosts=1", "hosts=0"),
+        read.replace("volume=00000003b4d60021", "volume=xyz"), read.replace("7f3a9c21e0b4d655", "7f3a"), read
+            .replace("GET", "PUT"), read.replace("GET", "DELETE"), write.replace("PUT", "GET"), write.replace(
+                "Idempotency-Key: k\r\n", ""), read.replace("X-IO:", "X-Other:"), read.replace("/get/7f",
+                    "/7f"), read.replace("\r\n\r\n", "\r\nContent-Length: 3\r\n\r\nabc")));
+    for (String time : List.of("", "480", "m", "-5m", "NaNm", "1e9m", "5s", "99999999999999999999m", "0x5m",
+        "200001m", "Infinitym")) {
+      bad.add(read.replace("20000m", time));
+    }
+    bad.add(read.replace("X-Remaining: 20000m\r\n", ""));
+    return bad;
+  }
+
+  @ParameterizedTest
+  @MethodSource("refused")
+  void whatTheSettingsDoNotAllowIsAnErrorAndTheConnectionStays(String bytes) throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      int status = client.send(bytes).status();
+      assertTrue(status >= 400 && status < 500, () -> status + " for " + bytes);
+      client.send(Site.read("good"));
+      Peer.Came c = site.disk.next();
+      assertEquals("good", c.header("X-Txn"), bytes);
+      c.ok("x");
+      assertEquals(200, client.status());
+    }
+  }
+
+  static List<String> unreadable() {
+    String read = Site.read("t1"), write = Site.write("put", "t1", "k", "body");
+    String hidden = write.replace("\r\n\r\nbody", "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") + Site
+        .read("hidden");
+    return List.of(hidden, hidden.replace("Transfer-Encoding: chunked", "Transfer-Encoding: xchunked"), write
+        .replace("Content-Length: 4", "Transfer-Encoding: chunked"), write.replace("Content-Length: 4",
+            "Content-Length: 4\r\nContent-Length: 5"), write.replace("Content-Length: 4",
+                "Content-Length: -4"), write.replace("Content-Length: 4", "Content-Length: +4"), write
+                    .replace("Content-Length: 4", "Content-Length: 0x4"), write.replace("Content-Length: 4",
+                        "Content-Length: 99999999999999999999"), write.replace("Content-Length: 4",
+                            "Content-Length: 62914560"), write.replace("Content-Length: 4",
+                                "Content-Length: 4, 4"), write.replace("Content-Length: 4",
+                                    "Content-Length : 4"), read.replace("X-Plan: gold",
+                                        "X-Plan: gold\r\n Transfer-Encoding: chunked"), read.replace(
+                                            "X-Plan: gold", "X-Plan: go\0ld"), read.replace("X-Plan: gold",
+                                                "X-Plan: gold\nX-More: 1"), read.replace("X-Plan: gold",
+                                                    "X-Plan: gold\rX-More: 1"), read.replace("HTTP/1.1",
+                                                        "HTTP/1.0"), read.replace("HTTP/1.1", "HTTP/9.9"),
+        read
+            .replace("X-Plan: gold", "X-Plan gold"),
+        "noise\1\2\3\r\n\r\n", "\r\n\r\n\r\n\r\n", "GET\r\n\r\n", read.replace("X-Plan: gold", "X-Long: "
+            + "a".repeat(9000)), "a".repeat(9000));
+  }
+
+  @ParameterizedTest
+  @MethodSource("unreadable")
+  void whereTheNextRequestStartsIsUnknownTheConnectionEndsAndNothingIsSentOn(String bytes) throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client(); Site.Client other = site.client()) {
+      client.send(bytes);
+      int status = client.status();
+      assertTrue(status == 0 || status >= 400, () -> status + " for " + bytes);
+      assertEquals("closed", client.answer());
+      other.send(Site.read("good"));
+      assertEquals("good", site.disk.next().header("X-Txn"));
+      site.disk.nothingElse();
+    }
+  }
+
+  @Test
+  void anIdThatIsOpenIsAnErrorForTheSecondAndNothingForTheFirst() throws Exception {
+    try (Site site = new Site(); Site.Client first = site.client(); Site.Client second = site.client()) {
+      first.send(Site.read("t1"));
+      Peer.Came c = site.disk.next();
+      assertEquals(409, second.send(Site.read("t1")).status());
+      c.ok("mine");
+      assertTrue(first.answer().endsWith("mine"));
+      site.disk.nothingElse();
+    }
+  }
+
+  @Test
+  void requestsSentAtOnceAreAnsweredOneAfterTheOther() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      client.send(Site.read("t1") + Site.read("t2").replace("gold", "lead") + Site.read("t3"));
+      Peer.Came c = site.disk.next();
+      assertEquals("t1", c.header("X-Txn"));
+      site.disk.nothingElse();
+      c.ok("one");
+      assertTrue(client.answer().endsWith("one"));
+      assertEquals(400, client.status());
+      Peer.Came third = site.disk.next();
+      third.ok("three");
+      assertTrue(client.answer().endsWith("three"));
+    }
+  }
+
+  @Test
+  void tooManyAtOnceAreDroppedWithAnError() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      StringBuilder all = new StringBuilder();
+      for (int i = 0; i < 200; i++) {
+        all.append(Site.read("t" + i));
+      }
+      client.send(all.toString());
+      int served = 0, status = 200;
+      while (status == 200) {
+        Peer.Came c = served < 9 ? site.disk.next() : null;
+        if (c != null) {
+          c.ok("x");
+        }
+        status = client.status();
+        served += status == 200 ? 1 : 0;
+      }
+      assertEquals(503, status);
+      assertEquals(9, served);
+      assertEquals("closed", client.answer());
+    }
+  }
+
+  @Test
+  void aClientThatLeavesIsForgottenThoughNothingIsAskedToBeRead() throws Exception {
+    try (Site site = new Site(); Site.Client stays = site.client()) {
+      Site.Client leaves = site.client();
+      Peer.Came watch = site.discovery.next();
+      leaves.send(Site.read("left", 1));
+      leaves.socket.shutdownOutput();
+      assertEquals("closed", leaves.answer());
+      stays.send(Site.read("stays", 1));
+      watch.answer(Site.WATCH + Site.chunk(Site.list(42, false, Site.entry("s-1", site.disk, 1, "up"))
+          + "\n"));
+      assertEquals("stays", site.disk.next().header("X-Txn"));
+      site.disk.nothingElse();
+      leaves.close();
+    }
+  }
+
+  @Test
+  void aBodyInPiecesIsWaitedFor() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      for (String piece : Site.write("put", "t1", "k", "0123456789").split("(?<=\\G.{40})")) {
+        client.send(piece);
+      }
+      assertEquals("0123456789", site.disk.next().body());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "GET /get/7f3a9c21e0b4d655 HT", "half"})
+  void whatIsNeverWholeIsClosed(String bytes) throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      client.send(bytes.equals("half")
+          ? Site.write("put", "t1", "k", "0123456789").replace("789", "")
+          : bytes);
+      int status = client.status();
+      assertTrue(status == 0 || status == 408, () -> "" + status);
+      site.disk.nothingElse();
+    }
+  }
+
+  @Test
+  void hugeBodiesAreRefusedAtTheirHead() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      client.send(Site.write("put", "t1", "k", "x").replace("Content-Length: 1", "Content-Length: 62914560"));
+      try {
+        for (int i = 0; i < 60; i++) {
+          client.send("x".repeat(1 << 20));
+        }
+      } catch (IOException closed) {
+        // As it may be.
+      }
+      int status = client.status();
+      assertTrue(status == 0 || status == 413, () -> "" + status);
+      site.disk.nothingElse();
+    }
+  }
+
+  @Test
+  void strangersWhoSayNothingDoNotKeepOthersOut() throws Exception {
+    List<Site.Client> strangers = new ArrayList<>();
+    try (Site site = new Site()) {
+      for (int i = 0; i < 300; i++) {
+        strangers.add(site.client());
+      }
+      try (Site.Client client = site.client()) {
+        client.send(Site.read("t1"));
+        site.disk.next().ok("x");
+        assertEquals(200, client.status());
+      }
+      for (Site.Client s : strangers) {
+        int status = s.status();
+        assertTrue(status == 0 || status == 408);
+      }
+    } finally {
+      for (Site.Client s : strangers) {
+        s.close();
+      }
+    }
+  }
+
+  @Test
+  void afterAStopWhatIsOpenIsAnsweredAndItEnds() throws Exception {
+    try (Site site = new Site(); Site.Client open = site.client(); Site.Client idle = site.client()) {
+      open.send(Site.read("t1"));
+      Peer.Came c = site.disk.next();
+      site.node.stop();
+      idle.send(Site.read("t2"));
+      Peer.Came second = site.disk.next();
+      c.ok("x");
+      second.ok("y");
+      assertTrue(open.answer().endsWith("x"));
+      assertTrue(idle.answer().endsWith("y"));
+      assertEquals("closed", open.answer());
+      assertEquals("closed", idle.answer());
+      assertTrue(site.node.awaitEnd(20_000));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/platform/NodeTest.java
@@ -0,0 +1,88 @@
+package hollyslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A scheduler's process: what it keeps, and what it loads. */
+@Timeout(120)
+class NodeTest {
+  private static final int DISTINCT = 10_000;
+
+  @Test
+  void readyDoesNotWaitForADiscoveryThatIsDown() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      int status = 503;
+      while (status == 503) {
+        status = client.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+      }
+      assertEquals(200, status);
+    }
+  }
+
+  /** Ids, volumes, keys and disk servers that are always new leave nothing behind. */
+  @Test
+  void whatHasEndedIsForgotten() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      Peer.Came w = site.discovery.next();
+      w.answer(Site.WATCH);
+      Thread disk = new Thread(() -> {
+        try {
+          while (true) {
+            site.disk.next().ok("x");
+          }
+        } catch (Exception | AssertionError over) {
+          // The test has ended.
+        }
+      });
+      disk.setDaemon(true);
+      disk.start();
+      int before = 0;
+      for (int i = 0; i < DISTINCT; i++) {
+        if (i % 20 == 0) {
+          w.answer(Site.chunk(Site.list(42 + i, true, Site.entry("s-" + i, site.disk, 0, "up")) + "\n"));
+        }
+        client.send(Site.read("t" + i).replace("00000003b4d60021", String.format("%016x", i)));
+        assertEquals(200, client.status());
+        if (i == DISTINCT / 2) {
+          before = descriptors();
+        }
+      }
+      assertTrue(descriptors() <= before + 20, () -> "descriptors");
+      assertEquals(0, site.node.open());
+      assertTrue(site.node.servers() <= 3, () -> "" + site.node.servers());
+    }
+  }
+
+  private static int descriptors() {
+    return new File("/proc/self/fd").list().length;
+  }
+
+  /** The process of the platform has some tens of MB: it must not load what it does not use. */
+  @Test
+  void aRehearsalLoadsNothingOfTheGateway() throws Exception {
+    Process p = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Xlog:class+load",
+        "-cp", System.getProperty("java.class.path"), "hollyslip.cli.Main", "platform", "--rehearse")
+        .redirectErrorStream(true)
+        .start();
+    Set<String> loaded = new TreeSet<>();
+    try (var lines = p.inputReader().lines()) {
+      lines.filter(l -> l.contains("source:")).forEach(l -> loaded.add(l.split("]", 4)[3].trim()));
+    }
+    assertTrue(p.waitFor(60, TimeUnit.SECONDS));
+    assertEquals(0, p.exitValue());
+    assertTrue(loaded.stream().anyMatch(l -> l.startsWith("hollyslip.Choice ")), loaded::toString);
+    for (String unwanted : new String[]{"io.vertx.", "com.sun.jna.", "ch.qos.", "org.slf4j.", "picocli.",
+        "hollyslip.store.", "hollyslip.door.", "hollyslip.admin.", "hollyslip.front.", "hollyslip.gateway.",
+        "hollyslip.engine."}) {
+      assertFalse(loaded.stream().anyMatch(l -> l.startsWith(unwanted)), unwanted);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/hollyslip/platform/Site.java
@@ -0,0 +1,134 @@
+package hollyslip.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** One scheduler between scripted peers: shard 0 at {@code disk}, the list at {@code discovery}. */
+final class Site implements AutoCloseable {
+  private static final String SETTINGS = """
+      {"az":"a","balancers":1,"myNumber":0,"tick":0.002,"classes":[
+       {"name":"get","effect":"pure","group":"all","window":5,"aim":10,"giveUp":20,"points":1,"lateValue":0.2},
+       {"name":"put","effect":"token","group":"cell","window":20,"aim":10,"giveUp":20,"points":1},
+       {"name":"pay","effect":"side_effect","group":"cell","window":20,"aim":10,"giveUp":20,"points":1}],
+       "policies":[{"name":"gold","nominal":1000,"guaranteed":500,"proportion":1,"price":1}],
+       "policyLimits":{"maxAttempts":3,"probes":true,"retryAfter":true,"maxRetryAfter":2,"dialTimeout":5,"idleClose":60},
+       "rules":{"graceToAnswer":0.008,"drainGrace":1,"coldFrom":0.5,"cold":1,"fallMultiple":3,"fall":1},
+       "extra":{"unitMean":2,"mostUnits":6,"nShards":3,"changesData":[false,true,true]},
+       "stats":{"how":"answers","names":["recent_ms"]}}""";
+
+  final Peer disk = new Peer(), discovery = new Peer();
+  final Path file;
+  final Node node;
+  final ByteArrayOutputStream log = new ByteArrayOutputStream();
+
+  Site() throws IOException, InterruptedException {
+    file = Files.createTempFile("platform", ".json");
+    configure(discovery);
+    node = new Node(Map.of("PROXY_CONFIG", file.toString()), new PrintStream(log, true));
+  }
+
+  void configure(Peer follows) throws IOException {
+    Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + follows.address()
+        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":256},"
+        + "\"known\":" + list(41, true, entry("s-0", disk, 0, "up")) + ",\"settings\":" + SETTINGS + "}");
+  }
+
+  static String entry(String host, Peer at, int shard, String health) {
+    return "{\"host\":\"" + host + "\",\"dial\":\"" + at.address()
+        + "\",\"site\":\"a\",\"class\":\"m\",\"block\":"
+        + shard + ",\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}";
+  }
+
+  static String list(long seq, boolean whole, String... entries) {
+    return "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", entries) + "]}";
+  }
+
+  /** The head of a watch's answer. */
+  static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  Client client() throws IOException {
+    return new Client(node.listening());
+  }
+
+  /** An ordinary read of shard 0. */
+  static String read(String id) {
+    return read(id, 0);
+  }
+
+  static String read(String id, int shard) {
+    return "GET /get/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\nX-Txn: " + id
+        + "\r\nX-Plan: gold\r\nX-Remaining: 20000m\r\nX-IO: volume=00000003b4d60021,units=2,shard=" + shard
+        + ",hosts=1\r\n\r\n";
+  }
+
+  /** A write with its key, or none. */
+  static String write(String className, String id, String key, String body) {
+    return "PUT /" + className + "/00/7f3a9c21e0b4d655?a=%20b HTTP/1.1\r\nHost: service.internal\r\nX-Txn: "
+        + id + "\r\nX-Plan: gold\r\nX-Remaining: 20000000u\r\n" + (key == null
+            ? ""
+            : "Idempotency-Key: "
+                + key + "\r\n")
+        + "X-IO: volume=00000003b4d60021,units=1.5,shard=0,hosts=1\r\nContent-Length: "
+        + body.length() + "\r\n\r\n" + body;
+  }
+
+  /** A client's connection. */
+  static final class Client implements AutoCloseable {
+    final Socket socket;
+
+    Client(InetSocketAddress at) throws IOException {
+      socket = new Socket(at.getAddress(), at.getPort());
+      socket.setSoTimeout(20_000);
+    }
+
+    Client send(String bytes) throws IOException {
+      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+      return this;
+    }
+
+    /** The next whole answer, head and body; "closed" at the end of the connection. */
+    String answer() throws IOException {
+      InputStream in = socket.getInputStream();
+      try {
+        String head = Peer.head(in);
+        if (head == null) {
+          return "closed";
+        }
+        String length = new Peer.Came(socket, head, "").header("Content-Length");
+        return head + new String(in.readNBytes(Integer.parseInt(length)), StandardCharsets.ISO_8859_1);
+      } catch (java.net.SocketException reset) {
+        return "closed";
+      }
+    }
+
+    int status() throws IOException {
+      String a = answer();
+      return a.equals("closed") ? 0 : Integer.parseInt(a.substring(9, 12));
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    node.close();
+    disk.close();
+    discovery.close();
+    Files.delete(file);
+  }
+}
