--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -12,14 +12,18 @@
  * @param disks
  *          connections to disk servers, those that are coming up too
  * @param bytes
- *          of request bodies held at a time */
+ *          of request bodies held at a time; as much again for answers that are not whole yet */
 record Bounds(int clients, int idleClients, int disks, long bytes) {
   /** Descriptors kept free beside both: discovery's old and new connection, and files opened now and then. */
   private static final int SPARE = 10;
 
-  /** Longest body of a request or an answer, bytes: the protocol's. */
+  /** Longest body of a request, bytes: the protocol's. */
   static final int BODY = 64 << 10;
 
+  /** Longest body of an answer, bytes: disk servers have been seen to send some hundred KiB. Guards memory
+   * against answers without an end. */
+  static final int ANSWER = 4 << 20;
+
   /** Of what the process may hold and does not hold yet, clients get three quarters: they come by the
    * hundreds, strangers among them, while the module keeps what is out at a disk server to some tens. */
   static Bounds of(int sockets, int held, int memoryMb) {
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -27,6 +27,10 @@
   /** How soon the module is called again after a fault of its own, us: its timer may be lost. */
   private static final long AFTER_FAULT_US = 10_000;
 
+  /** What an answer may need from the module to its client at worst, us: the process may be held off its core
+   * for tens of ms. At most a tenth of the time that the client waits. */
+  private static final long ON_ITS_WAY_US = 30_000;
+
   private final HostScheduler module;
   private final Settings settings;
   private final EventLoop loop;
@@ -84,7 +88,8 @@
 
   /** Takes a request whose last byte came at {@code cameAt}, us; its id must not be open. */
   Exchange take(Ask ask, byte[] body, long cameAt, Exchange.Reply reply) {
-    long deadline = Math.min(cameAt + ask.remainingUs(), answerBy);
+    long way = Math.min(ON_ITS_WAY_US, ask.remainingUs() / 10);
+    long deadline = Math.min(cameAt + ask.remainingUs() - way, answerBy);
     Exchange x = new Exchange(ask, body, ++lastNumber, deadline, reply);
     byId.put(ask.id(), x);
     byNumber.put(x.number, x);
--- a/src/main/java/hollyslip/platform/DiskConnection.java
+++ b/src/main/java/hollyslip/platform/DiskConnection.java
@@ -57,6 +57,7 @@
     c.connection = this;
     head = null;
     interim = 0;
+    dropBody();
     channel.writeAndFlush(c.bytes.apply(c.giveUpAt - now)).addListener(f -> {
       if (f.isSuccess()) {
         c.written = true;
@@ -93,6 +94,7 @@
   }
 
   private void dropBody() {
+    owner.letGo(body.readableBytes());
     body.release();
     body = Unpooled.EMPTY_BUFFER;
   }
@@ -123,20 +125,23 @@
     boolean framed = HttpUtil.isTransferEncodingChunked(r) || r.headers()
         .contains(HttpHeaderNames.CONTENT_LENGTH) && !r.headers()
             .contains(HttpHeaderNames.TRANSFER_ENCODING);
-    if (!framed || HttpUtil.getContentLength(r, 0L) > Bounds.BODY) {
-      spoilt("length");
+    long length = HttpUtil.getContentLength(r, 0L);
+    if (!framed || length > Bounds.ANSWER) {
+      spoilt("length: " + r.headers().entries());
       return;
     }
     head = r;
-    body = Unpooled.buffer(Math.max(64, (int) HttpUtil.getContentLength(r, 0L)), Bounds.BODY);
+    // Grows with what comes beyond this: a length that is only said must not take memory.
+    body = Unpooled.buffer((int) Math.max(64, Math.min(length, 8 * Bounds.BODY)), Bounds.ANSWER);
   }
 
   private void content(HttpContent c) {
     if (c.decoderResult().isFailure()) {
       spoilt("body");
     } else if (head != null) {
-      if (body.readableBytes() + c.content().readableBytes() > Bounds.BODY) {
-        spoilt("length");
+      int more = c.content().readableBytes();
+      if (body.readableBytes() + more > Bounds.ANSWER || !owner.hold(more)) {
+        spoilt("no room for " + (body.readableBytes() + more) + " bytes");
       } else {
         body.writeBytes(c.content());
         if (c instanceof LastHttpContent) {
@@ -150,7 +155,8 @@
   private void whole() {
     Call c = call;
     HttpResponse r = head;
-    byte[] bytes = ByteBufUtil.getBytes(body);
+    boolean exact = body.hasArray() && body.arrayOffset() == 0 && body.readableBytes() == body.array().length;
+    byte[] bytes = exact ? body.array() : ByteBufUtil.getBytes(body);
     dropBody();
     call = null;
     head = null;
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -34,19 +34,26 @@
   /** Connections that are coming up. */
   private int dialling;
   private boolean serving;
+  /** Bytes of answers that are not whole yet, and how many there may be. */
+  private long held;
+  private final long mostHeld;
   long dials;
 
   /** @param most
    *          connections at a time, those that are coming up included
+   * @param mostHeld
+   *          bytes of answers that are not whole yet
    * @param connectUs
    *          one that is not up by then has failed
    * @param idleCloseUs
    *          disk servers close what was idle for so long; 0: never */
-  DiskServers(EventLoop loop, Clock clock, Log log, int most, long connectUs, long idleCloseUs) {
+  DiskServers(EventLoop loop, Clock clock, Log log, int most, long mostHeld, long connectUs,
+      long idleCloseUs) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.most = most;
+    this.mostHeld = mostHeld;
     this.connectUs = connectUs > 0 ? connectUs : 1_000_000;
     // A request may be under way as the other side's time runs out: a tenth of it is kept clear.
     idleUs = idleCloseUs > 0 ? idleCloseUs - idleCloseUs / 10 : Long.MAX_VALUE;
@@ -235,6 +242,19 @@
     serving = false;
   }
 
+  /** Takes room for so many bytes more of an answer, if there is any. */
+  boolean hold(int bytes) {
+    if (held + bytes > mostHeld) {
+      return false;
+    }
+    held += bytes;
+    return true;
+  }
+
+  void letGo(int bytes) {
+    held -= bytes;
+  }
+
   void spoilt(DiskServer to, String why) {
     log.event("disk.spoilt", to.host, why);
   }
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -59,7 +59,7 @@
     group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
     loop = (EventLoop) group.next();
     Bounds bounds = Bounds.of(configuration.sockets(), Bounds.descriptorsHeld(), configuration.memoryMb());
-    disks = new DiskServers(loop, clock, log, bounds.disks(), configuration.settings()
+    disks = new DiskServers(loop, clock, log, bounds.disks(), bounds.bytes(), configuration.settings()
         .allowed()
         .connectTimeoutUs(), configuration.idleCloseUs());
     desk = new Desk(new Choice(configuration.settings()), configuration.settings(), loop, clock, log, disks,
--- a/src/test/java/hollyslip/platform/DiskServersTest.java
+++ b/src/test/java/hollyslip/platform/DiskServersTest.java
@@ -79,6 +79,23 @@
     }
   }
 
+  /** Disk servers were seen to send several hundred KiB, more than a request may have. */
+  @Test
+  void largeAnswersArePassedOnWhole() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      for (int i = 0; i < 20; i++) {
+        String large = ("" + i).repeat(300_000);
+        client.send(Site.read("t" + i));
+        site.disk.next().ok(large);
+        assertTrue(client.answer().endsWith("\r\n\r\n" + large));
+      }
+      client.send(Site.read("last"));
+      site.disk.next().answer("HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n");
+      site.disk.next().ok("small");
+      assertTrue(client.answer().endsWith("small"));
+    }
+  }
+
   @Test
   void chunkedAnswersAreTakenWhole() throws Exception {
     try (Site site = new Site(); Site.Client client = site.client()) {
