--- a/src/main/java/hollyslip/platform/DiskConnection.java
+++ b/src/main/java/hollyslip/platform/DiskConnection.java
@@ -29,6 +29,10 @@
   private final AnswerDecoder decoder = new AnswerDecoder();
   /** When the last call on it ended, us. */
   long freeAt;
+  /** How long it had carried nothing when the call on it was written, us; -1: it was new. */
+  private long idleUs = -1;
+  private long startedAt;
+  private boolean used;
   private Call call;
   private HttpResponse head;
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -55,6 +59,9 @@
   void start(Call c, long now) {
     call = c;
     c.connection = this;
+    idleUs = used ? now - freeAt : -1;
+    startedAt = now;
+    used = true;
     head = null;
     interim = 0;
     dropBody();
@@ -79,7 +86,11 @@
     call = null;
     owner.closed(this);
     if (c != null) {
-      c.end(c.written ? Result.RESET : Result.CONNECT_FAILED, owner.now());
+      long now = owner.now();
+      if (idleUs >= 0 && head == null && now - startedAt < DiskServers.AT_ONCE_US) {
+        owner.stale(to, idleUs);
+      }
+      c.end(c.written ? Result.RESET : Result.CONNECT_FAILED, now);
     }
   }
 
@@ -165,6 +176,9 @@
     if (clean) {
       owner.free(this);
     }
+    if (idleUs >= 0) {
+      owner.fresh();
+    }
     c.end(result(r, c.written), owner.now(), r.headers(), bytes);
     if (!clean) {
       close();
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -22,11 +22,15 @@
    * Harm: a few connections more. */
   static final long REST_US = 25_000;
 
+  /** A kept connection that breaks so soon after a request was written to it, us, had been given up by the
+   * other side before. */
+  static final long AT_ONCE_US = 5_000;
+
   private final EventLoop loop;
   private final Clock clock;
   private final Log log;
   private final int most;
-  private final long connectUs, idleUs;
+  private final long connectUs;
   private final Bootstrap bootstrap;
   private final Set<DiskConnection> all = new HashSet<>();
   /** Calls for which there was no descriptor. */
@@ -34,6 +38,7 @@
   /** Connections that are coming up. */
   private int dialling;
   private boolean serving;
+  private final Trust trust;
   /** Bytes of answers that are not whole yet, and how many there may be. */
   private long held;
   private final long mostHeld;
@@ -56,7 +61,8 @@
     this.mostHeld = mostHeld;
     this.connectUs = connectUs > 0 ? connectUs : 1_000_000;
     // A request may be under way as the other side's time runs out: a tenth of it is kept clear.
-    idleUs = idleCloseUs > 0 ? idleCloseUs - idleCloseUs / 10 : Long.MAX_VALUE;
+    long idleUs = idleCloseUs > 0 ? idleCloseUs - idleCloseUs / 10 : Long.MAX_VALUE;
+    trust = new Trust(2 * REST_US, idleUs);
     bootstrap = new Bootstrap().group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
@@ -129,7 +135,7 @@
   }
 
   private void closeOld(DiskServer to, long now) {
-    while (!to.idle.isEmpty() && now - to.idle.peekFirst().freeAt >= idleUs) {
+    while (!to.idle.isEmpty() && now - to.idle.peekFirst().freeAt >= trust.us()) {
       to.idle.peekFirst().close();
     }
   }
@@ -259,6 +265,17 @@
     log.event("disk.spoilt", to.host, why);
   }
 
+  /** A kept connection, idle for so long, turned out to be gone as its next request was written. */
+  void stale(DiskServer to, long idle) {
+    log.event("disk.stale", to.host, "idle ms", idle / 1000, "trusted ms", trust.us() / 1000);
+    trust.broke(idle);
+  }
+
+  /** A kept connection brought an answer. */
+  void fresh() {
+    trust.held();
+  }
+
   void dirty(DiskServer to) {
     log.event("disk.dirty", to.host, "bytes came that answer nothing");
   }
@@ -275,7 +292,7 @@
   void sweep() {
     long now = now();
     for (DiskConnection c : Set.copyOf(all)) {
-      if (c.usable() && now - c.freeAt >= idleUs && c.to.idle.contains(c)) {
+      if (c.usable() && now - c.freeAt >= trust.us() && c.to.idle.contains(c)) {
         c.close();
       }
     }
