--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -84,7 +84,7 @@
   private final Map<String, Long> mostRemaining = new HashMap<>();
   private final Map<String, Plan> plans = new HashMap<>();
   /** All, and those that hold requests: what an event costs must not grow with the fleet. */
-  private final Map<Long, Node> nodes = new TreeMap<>(), holders = new TreeMap<>();
+  final Map<Long, Node> nodes = new TreeMap<>(), holders = new TreeMap<>();
   private final Map<Long, Pending> pendings = new LinkedHashMap<>();
   private final Map<Long, Limit> limits = new HashMap<>(), reserves = new HashMap<>();
   private final Map<Long, KeyLine> lines = new HashMap<>();
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -45,6 +45,8 @@
   private final Map<String, DiskServer> servers = new HashMap<>();
   private final Map<Long, DiskServer> serversByNumber = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
+  /** Null: off. */
+  private Trace trace;
   private boolean running;
   private long lastNumber, lastServer, bytes;
   private long answerBy = Long.MAX_VALUE;
@@ -76,6 +78,14 @@
     return byNumber.size();
   }
 
+  void trace(Trace to) {
+    trace = to;
+  }
+
+  Map<Long, DiskServer> serversByNumber() {
+    return serversByNumber;
+  }
+
   /** Disk servers that are listed or have calls. */
   int servers() {
     return servers.size();
@@ -238,6 +248,9 @@
         && mayStart(to, at), (result, tookUs, headers, body) -> ended(x, attempt, to, result, tookUs, headers,
             body));
     calls.computeIfAbsent(x.number, k -> new HashMap<>()).put(attempt, c);
+    if (trace != null) {
+      trace.started(to.number);
+    }
     disks.start(c);
   }
 
@@ -254,6 +267,9 @@
     if (own.isEmpty()) {
       calls.remove(x.number);
     }
+    if (trace != null) {
+      trace.ended(from.number, result, tookUs);
+    }
     if (result == Result.OK) {
       x.serve(body);
     }
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -62,7 +62,8 @@
     disks = new DiskServers(loop, clock, log, bounds.disks(), bounds.bytes(), configuration.settings()
         .allowed()
         .connectTimeoutUs(), configuration.idleCloseUs());
-    desk = new Desk(new Choice(configuration.settings()), configuration.settings(), loop, clock, log, disks,
+    Choice module = new Choice(configuration.settings());
+    desk = new Desk(module, configuration.settings(), loop, clock, log, disks,
         bounds.bytes());
     front = new Front(loop, clock, log, desk, new Ask.Reader(configuration.settings(), configuration
         .shards()), bounds);
@@ -78,6 +79,11 @@
     listening = (InetSocketAddress) front.listen(group, configuration.listen()).localAddress();
     loop.schedule(this::ready, FIRST_WORD_MS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(disks::sweep, 1, 1, TimeUnit.SECONDS);
+    if (environment.containsKey("HOLLYSLIP_TRACE")) {
+      Trace trace = new Trace(out);
+      loop.execute(() -> desk.trace(trace));
+      loop.scheduleAtFixedRate(() -> trace.lines(module, desk.serversByNumber()), 1, 1, TimeUnit.SECONDS);
+    }
     log.event("node.started", configuration.name(), listening, bounds);
   }
 
--- a/src/test/java/hollyslip/platform/Peer.java
+++ b/src/test/java/hollyslip/platform/Peer.java
@@ -79,7 +79,14 @@
     t.start();
   }
 
+  /** Reads until the other side ends, then closes: what stayed open would count as the scheduler's. */
   private void read(Socket s) throws IOException {
+    try (s) {
+      requests(s);
+    }
+  }
+
+  private void requests(Socket s) throws IOException {
     InputStream in = s.getInputStream();
     for (String head = head(in); head != null; head = head(in)) {
       Came c = new Came(s, head, "");
--- /dev/null
+++ b/src/test/java/hollyslip/platform/TraceTest.java
@@ -0,0 +1,41 @@
+package hollyslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import hollyslip.Choice;
+import hollyslip.HostScheduler.Listed;
+import hollyslip.HostScheduler.NodeList;
+import hollyslip.HostScheduler.NodeState;
+import hollyslip.HostScheduler.Result;
+import hollyslip.WireSettings;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What the module believes beside what the connections saw. */
+class TraceTest {
+  @Test
+  void aLineHoldsBothAndTheNextBeginsAnew() throws Exception {
+    Choice module = new Choice(WireSettings.parse(1, new ObjectMapper().readTree(
+        "{\"classes\":[{\"name\":\"c\",\"aim\":1,\"giveUp\":1}],\"policies\":[{\"name\":\"p\"}]}")));
+    module.handle(1_000, new NodeList(true, List.of(new Listed(5, "a", 0, NodeState.ON, 0))), a -> {});
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    Trace trace = new Trace(new PrintStream(text, true));
+    trace.started(5);
+    trace.started(5);
+    trace.started(5);
+    trace.ended(5, Result.OK, 10_000);
+    trace.ended(5, Result.OK, 30_000);
+    trace.ended(5, Result.RESET, 99_000);
+    DiskServer server = new DiskServer("s-5", 5);
+    server.calls = 1;
+    trace.lines(module, Map.of(5L, server));
+    trace.lines(module, Map.of());
+    String belief = "ON out 0 of 4.0 held 0 expects 40.0 ms | calls ";
+    assertEquals("trace s-5 " + belief + "1 idle 0 started 3 answered 2 mean 20.0 ms {OK=2, RESET=1}\n"
+        + "trace ? " + belief + "0 idle 0 started 0 answered 0 mean 0.0 ms {}\n", text.toString());
+  }
+}
