--- a/src/main/java/hollyslip/platform/AnswerDecoder.java
+++ b/src/main/java/hollyslip/platform/AnswerDecoder.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -18,10 +17,7 @@
   private boolean atHead = true;
 
   AnswerDecoder() {
-    super(new HttpDecoderConfig().setMaxInitialLineLength(HeadCheck.MOST)
-        .setMaxHeaderSize(HeadCheck.MOST)
-        .setStrictLineParsing(true)
-        .setAllowDuplicateContentLengths(false));
+    super(Http.strict());
   }
 
   @Override
@@ -49,7 +45,7 @@
 
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-    throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    Http.refuseBoth();
   }
 
   /** Bytes that have come and belong to no answer yet. */
--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -15,13 +15,16 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Locale;
 
 /** One client's connection: requests in, one after the other, and their answers out. It is always read, so
  * that a client's leaving is seen; what comes beyond a bound is dropped. */
 final class ClientConnection {
+  /** Bytes that are read and dropped before the connection is closed: a client that goes on at full speed
+   * after an error would take the event loop's time. Harm: it may see a reset in place of the error. */
+  private static final int MOST_DROPPED = 1 << 20;
+
   /** Requests that may wait behind an open one: an ordinary client sends none. */
   private static final int MOST_WAITING = 8;
   private static final byte[] NOTHING = {};
@@ -38,12 +41,13 @@
   private boolean closeAfter;
 
   private Exchange open;
-  private long cameAt, readAt, idleSince, writingSince = -1;
+  private long readAt, idleSince, writingSince = -1;
   /** Since when part of a request has been here; -1: there is none. */
   private long partSince;
   /** What comes is not looked at any more. */
   private boolean deaf;
   private long deafSince;
+  private int dropped;
   private boolean over;
 
   /** Something to be answered in its turn: a request, or an error ({@code status}). */
@@ -52,18 +56,18 @@
   ClientConnection(Front front, Channel channel) {
     this.front = front;
     this.channel = channel;
-    cameAt = front.now();
-    partSince = cameAt;
-    idleSince = cameAt;
+    partSince = front.now();
+    idleSince = partSince;
   }
 
   void open() {
     channel.pipeline().addLast(new Reads(), decoder, new Requests());
   }
 
-  /** Since when nothing is open or under way here, us; -1: something is. */
+  /** Since when nothing is open or under way here, us; -1: something is. A request of which a part has come
+   * is: a slow one must not lose its connection to others' need of places. */
   long idleSince() {
-    return quiet() ? idleSince : -1;
+    return quiet() && !decoder.within() ? idleSince : -1;
   }
 
   boolean quiet() {
@@ -107,7 +111,7 @@
         instead = error(HttpResponseStatus.SERVICE_UNAVAILABLE);
       } else if (body.length > 0 && r.headers()
           .containsValue(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true) && quiet()) {
-        channel.writeAndFlush(ascii("HTTP/1.1 100 Continue\r\n\r\n"));
+        channel.writeAndFlush(Http.bytes("HTTP/1.1 100 Continue\r\n\r\n"));
       }
     } catch (Ask.Refused e) {
       front.log().event("request.bad", e.getMessage(), channel.remoteAddress());
@@ -229,7 +233,7 @@
     if (last) {
       head.append("Connection: close\r\n");
     }
-    ByteBuf bytes = ascii(head.append("\r\n").toString());
+    ByteBuf bytes = Http.bytes(head.append("\r\n").toString());
     writingSince = front.now();
     channel.writeAndFlush(text.length == 0
         ? bytes
@@ -256,16 +260,16 @@
     ((SocketChannel) channel).shutdownOutput();
   }
 
-  private static ByteBuf ascii(String text) {
-    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
   /** Sees bytes before the codec does. */
   private final class Reads extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       if (deaf) {
+        dropped += ((ByteBuf) message).readableBytes();
         ReferenceCountUtil.release(message);
+        if (dropped > MOST_DROPPED) {
+          close();
+        }
         return;
       }
       readAt = front.now();
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -11,7 +11,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -294,8 +293,10 @@
     long now = clock.now();
     boolean reports = settings.reportSource() != HostScheduler.ReportSource.NONE;
     String path = reports ? "/status/load" : "/health";
-    disks.start(new Call(to, now, now + settings.allowed().connectTimeoutUs(), waitUs -> ascii("GET " + path
-        + " HTTP/1.1\r\nHost: " + authority(to) + "\r\n\r\n"), at -> to.state != NodeState.GONE, (result,
+    disks.start(new Call(to, now, now + settings.allowed().connectTimeoutUs(), waitUs -> Http.bytes("GET "
+        + path
+        + " HTTP/1.1\r\nHost: " + Http.authority(to.dial) + "\r\n\r\n"), at -> to.state != NodeState.GONE, (
+            result,
             tookUs, headers, body) -> {
           happened(new HostScheduler.Probed(node, result, tookUs, readings.probed(headers, body)));
           forgetIfGone(to);
@@ -309,7 +310,7 @@
         .append(' ')
         .append(a.uri())
         .append(" HTTP/1.1\r\nHost: ")
-        .append(authority(to))
+        .append(Http.authority(to.dial))
         .append("\r\nX-Txn: ")
         .append(a.id())
         .append("\r\nX-Remaining: ")
@@ -321,15 +322,7 @@
     if (x.body.length > 0 || a.method().equals("PUT")) {
       head.append("Content-Length: ").append(x.body.length).append("\r\n");
     }
-    ByteBuf text = ascii(head.append("\r\n").toString());
+    ByteBuf text = Http.bytes(head.append("\r\n").toString());
     return x.body.length == 0 ? text : Unpooled.wrappedBuffer(text, Unpooled.wrappedBuffer(x.body));
   }
-
-  private static ByteBuf ascii(String text) {
-    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  private static String authority(DiskServer to) {
-    return to.dial.getAddress().getHostAddress() + ":" + to.dial.getPort();
-  }
 }
--- a/src/main/java/hollyslip/platform/Discovery.java
+++ b/src/main/java/hollyslip/platform/Discovery.java
@@ -59,7 +59,7 @@
   }
 
   void start() {
-    loop.scheduleAtFixedRate(this::lookForSilence, 500, 500, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(log.guarded(this::lookForSilence), 500, 500, TimeUnit.MILLISECONDS);
     watch();
   }
 
@@ -171,9 +171,8 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       String index = seq < 0 ? "" : "&index=" + seq;
-      ctx.writeAndFlush(Unpooled.copiedBuffer("GET /v1/endpoints?stream=1" + index + " HTTP/1.1\r\nHost: "
-          + address.getAddress().getHostAddress() + ":" + address.getPort() + "\r\n\r\n",
-          StandardCharsets.US_ASCII));
+      ctx.writeAndFlush(Http.bytes("GET /v1/endpoints?stream=1" + index + " HTTP/1.1\r\nHost: "
+          + Http.authority(address) + "\r\n\r\n"));
     }
 
     @Override
--- a/src/main/java/hollyslip/platform/DiskConnection.java
+++ b/src/main/java/hollyslip/platform/DiskConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 
 /** One kept connection to a disk server, with one call on it at a time. Whatever comes while there is none,
  * or is more than one whole answer, makes it unfit for use: it is closed, and what came is passed on to
@@ -24,7 +25,9 @@
   private static final int MOST_INTERIM = 8;
 
   final DiskServer to;
-  final Channel channel;
+  /** Where it leads: the disk server may have moved since. */
+  final InetSocketAddress address;
+  private final Channel channel;
   private final DiskServers owner;
   private final AnswerDecoder decoder = new AnswerDecoder();
   /** When the last call on it ended, us. */
@@ -39,8 +42,9 @@
   private int interim;
   private boolean closed;
 
-  DiskConnection(DiskServer to, Channel channel, DiskServers owner) {
+  DiskConnection(DiskServer to, InetSocketAddress address, Channel channel, DiskServers owner) {
     this.to = to;
+    this.address = address;
     this.channel = channel;
     this.owner = owner;
   }
@@ -69,7 +73,7 @@
       if (f.isSuccess()) {
         c.written = true;
       } else {
-        broken();
+        close();
       }
     });
   }
@@ -94,10 +98,6 @@
     }
   }
 
-  private void broken() {
-    close();
-  }
-
   /** The call on it has ended for its owner, who waits no longer: so does the connection. */
   void giveUp() {
     call = null;
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
@@ -42,7 +43,6 @@
   /** Bytes of answers that are not whole yet, and how many there may be. */
   private long held;
   private final long mostHeld;
-  long dials;
 
   /** @param most
    *          connections at a time, those that are coming up included
@@ -115,9 +115,7 @@
       on.start(c, now);
     } else {
       c.end(Result.MOOT, now);
-      if (on.usable() && !on.to.idle.contains(on)) {
-        free(on);
-      }
+      free(on);
     }
   }
 
@@ -144,7 +142,7 @@
   private boolean evict() {
     DiskConnection oldest = null;
     for (DiskConnection c : all) {
-      if (c.usable() && c.to.idle.contains(c) && (oldest == null || c.freeAt < oldest.freeAt)) {
+      if (c.usable() && (oldest == null || c.freeAt < oldest.freeAt)) {
         oldest = c;
       }
     }
@@ -156,11 +154,11 @@
 
   private void dial(Call c) {
     DiskServer to = c.to;
+    InetSocketAddress address = to.dial;
     dialling++;
-    dials++;
     ChannelFuture f;
     try {
-      f = bootstrap.connect(to.dial);
+      f = bootstrap.connect(address);
     } catch (RuntimeException e) {
       dialling--;
       noDescriptor(c, e);
@@ -169,7 +167,7 @@
     f.addListener(done -> {
       dialling--;
       if (done.isSuccess()) {
-        up(f.channel(), to, c);
+        up(f.channel(), to, address, c);
       } else {
         boolean theirs = done.cause() instanceof ConnectException || done
             .cause() instanceof java.net.SocketException && !String.valueOf(done.cause().getMessage())
@@ -190,16 +188,14 @@
     c.end(Result.MOOT, now());
   }
 
-  private void up(Channel channel, DiskServer to, Call c) {
-    DiskConnection connection = new DiskConnection(to, channel, this);
+  private void up(Channel channel, DiskServer to, InetSocketAddress address, Call c) {
+    DiskConnection connection = new DiskConnection(to, address, channel, this);
     all.add(connection);
     connection.open();
     long now = now();
     if (c.ended()) {
-      connection.freeAt = now - REST_US;
-      to.idle.addLast(connection);
+      free(connection);
     } else {
-      connection.freeAt = now;
       write(connection, c, now);
     }
   }
@@ -225,10 +221,14 @@
     }
   }
 
-  /** A connection carries nothing now. */
+  /** A connection carries nothing now: it is kept, unless it leads where the disk server no longer is. */
   void free(DiskConnection c) {
     c.freeAt = now();
-    c.to.idle.addLast(c);
+    if (c.address.equals(c.to.dial)) {
+      c.to.idle.addLast(c);
+    } else {
+      c.close();
+    }
   }
 
   void closed(DiskConnection c) {
@@ -292,7 +292,7 @@
   void sweep() {
     long now = now();
     for (DiskConnection c : Set.copyOf(all)) {
-      if (c.usable() && now - c.freeAt >= trust.us() && c.to.idle.contains(c)) {
+      if (c.usable() && now - c.freeAt >= trust.us()) {
         c.close();
       }
     }
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -74,7 +74,7 @@
         .bind(at)
         .sync()
         .channel();
-    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(log.guarded(this::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     return listener;
   }
 
--- a/src/main/java/hollyslip/platform/Log.java
+++ b/src/main/java/hollyslip/platform/Log.java
@@ -5,7 +5,8 @@
 import java.util.Map;
 
 /** Lines on standard output, one an event: time in Unix ms, name, facts. Of each name at most one line a
- * second, which says how many it stands for: a flood must not block the event loop on a full pipe. */
+ * second, which says how many it stands for: a flood must not block the event loop on a full pipe. Signals
+ * come on threads of their own, so any thread may write. */
 final class Log {
   private static final long PAUSE_MS = 1000;
 
@@ -23,7 +24,7 @@
   }
 
   /** {@code name} is one of a fixed set; {@code facts} may hold anything. */
-  void event(String name, Object... facts) {
+  synchronized void event(String name, Object... facts) {
     long now = System.currentTimeMillis();
     Line line = lines.computeIfAbsent(name, k -> new Line());
     if (now - line.at < PAUSE_MS) {
@@ -42,6 +43,19 @@
     out.println(text);
   }
 
+  /** The same work, which is not ended by a fault of its own: what runs again and again on the event loop
+   * would be dropped there at its first one, with no word. */
+  Runnable guarded(Runnable work) {
+    return () -> {
+      try {
+        work.run();
+      } catch (RuntimeException fault) {
+        StackTraceElement[] trace = fault.getStackTrace();
+        event("node.fault", fault, trace.length > 0 ? trace[0] : "");
+      }
+    };
+  }
+
   /** Bytes from outside must not forge lines. */
   private static String plain(String fact) {
     String cut = fact.length() > 200 ? fact.substring(0, 200) : fact;
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -78,11 +78,12 @@
     }).sync();
     listening = (InetSocketAddress) front.listen(group, configuration.listen()).localAddress();
     loop.schedule(this::ready, FIRST_WORD_MS, TimeUnit.MILLISECONDS);
-    loop.scheduleAtFixedRate(disks::sweep, 1, 1, TimeUnit.SECONDS);
+    loop.scheduleAtFixedRate(log.guarded(disks::sweep), 1, 1, TimeUnit.SECONDS);
     if (environment.containsKey("HOLLYSLIP_TRACE")) {
       Trace trace = new Trace(out);
       loop.execute(() -> desk.trace(trace));
-      loop.scheduleAtFixedRate(() -> trace.lines(module, desk.serversByNumber()), 1, 1, TimeUnit.SECONDS);
+      loop.scheduleAtFixedRate(log.guarded(() -> trace.lines(module, desk.serversByNumber())), 1, 1,
+          TimeUnit.SECONDS);
     }
     log.event("node.started", configuration.name(), listening, bounds);
   }
@@ -94,6 +95,8 @@
       Rehearsal.run();
       return;
     }
+    // One that comes before there is a scheduler must not end the process.
+    Signal.handle(new Signal("HUP"), s -> {});
     Node node;
     try {
       node = new Node(System.getenv(), System.out);
@@ -129,7 +132,7 @@
   }
 
   private void ready() {
-    if (!front.ready()) {
+    if (!front.ready() && !stopping) {
       front.setReady();
       log.event("node.ready", configuration.name());
     }
@@ -180,7 +183,7 @@
 
   private void part() {
     front.part();
-    loop.scheduleAtFixedRate(this::endIfDone, 0, 10, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(log.guarded(this::endIfDone), 0, 10, TimeUnit.MILLISECONDS);
   }
 
   private void endIfDone() {
--- a/src/main/java/hollyslip/platform/RequestDecoder.java
+++ b/src/main/java/hollyslip/platform/RequestDecoder.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -15,10 +14,7 @@
   private boolean atHead = true;
 
   RequestDecoder() {
-    super(new HttpDecoderConfig().setMaxInitialLineLength(HeadCheck.MOST)
-        .setMaxHeaderSize(HeadCheck.MOST)
-        .setStrictLineParsing(true)
-        .setAllowDuplicateContentLengths(false));
+    super(Http.strict());
   }
 
   @Override
@@ -43,7 +39,7 @@
 
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-    throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    Http.refuseBoth();
   }
 
   /** Whether part of a request has come and not all of it. */
--- a/src/test/java/hollyslip/platform/DiskServersTest.java
+++ b/src/test/java/hollyslip/platform/DiskServersTest.java
@@ -148,6 +148,27 @@
     }
   }
 
+  /** The list moved a disk server while a request was out at its old address. */
+  @Test
+  void aConnectionToAnAddressLeftBehindIsNotKept() throws Exception {
+    try (Site site = new Site();
+        Peer moved = new Peer();
+        Site.Client client = site.client();
+        Site.Client other = site
+            .client()) {
+      client.send(Site.read("t1"));
+      Peer.Came old = site.disk.next();
+      site.discovery.next()
+          .answer(Site.WATCH + Site.chunk(Site.list(42, false, Site.entry("s-0", moved, 0, "up"), Site.entry(
+              "s-1", moved, 1, "up")) + "\n"));
+      other.send(Site.read("in-force", 1));
+      moved.next().ok("x");
+      old.ok("late");
+      assertTrue(client.answer().endsWith("late"));
+      old.awaitClosed();
+    }
+  }
+
   @Test
   void aConnectionThatTheDiskServerClosedIsNotUsed() throws Exception {
     try (Site site = new Site(); Site.Client client = site.client()) {
--- a/src/test/java/hollyslip/platform/FrontTest.java
+++ b/src/test/java/hollyslip/platform/FrontTest.java
@@ -235,6 +235,24 @@
     }
   }
 
+  @Test
+  void aClientThatGoesOnAtFullSpeedAfterAnErrorIsClosedThoughAnEarlierRequestIsOpen() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      client.send(Site.read("t1"));
+      site.disk.next();
+      client.send("noise \1\r\n\r\n");
+      boolean closed = false;
+      for (int i = 0; i < 200 && !closed; i++) {
+        try {
+          client.send("x".repeat(1 << 20));
+        } catch (IOException reset) {
+          closed = true;
+        }
+      }
+      assertTrue(closed);
+    }
+  }
+
   @Test
   void afterAStopWhatIsOpenIsAnsweredAndItEnds() throws Exception {
     try (Site site = new Site(); Site.Client open = site.client(); Site.Client idle = site.client()) {
