Refusals say when to come back: after the node's expected latency

It is the node's expected latency, at most what clients honour, where the settings allow it. Tests on the module and on bytes.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -56,8 +56,7 @@
   /** Latency taken as usual before any answer, us: a disk request. */
   static final double LATENCY_GUESS = 40_000;
 
-  /** Depth of a volume's bucket, in mean requests: the paper's three tokens. Part of a quiet volume's record
-   * kept each period: half is gone after 3.4 s. */
+  /** Depth of a bucket, in mean requests, as the paper's; part of a quiet record kept each period. */
   static final double BUCKET_DEPTH = 3, RECORD_KEEP = 0.98;
 
   /** A volume unheard of for this long is forgotten at a node, us: longer than surges last. */
@@ -67,9 +66,8 @@
    * not passed before: the rest is the client's, to ask again. Harm: what might have come late does not. */
   static final double HELD = 0.5;
 
-  /** Pauses, us: after an attempt that a node turned away or failed, a few service times; until a held
-   * request that a guard stops is looked at again; before the list is asked for again, which is load, after a
-   * failed call. */
+  /** Pauses, us: after an attempt that failed, a few service times; until a held request that a guard stops
+   * is looked at again; before the list is asked for again, which is load. */
   static final long RETRY_PAUSE = 30_000, POLL = 10_000, LIST_RETRY = 500_000;
 
   /** Refused connections in a row that tell of a node that is down, rather than out of connections. */
@@ -1064,7 +1062,9 @@
   }
 
   private void end(Pending p) {
-    out.accept(p.refusable() ? new Refuse(p.request.id(), 0) : new Fail(p.request.id()));
+    boolean told = settings.allowed().retryAfter() && p.node != null;
+    long retryIn = told ? Math.min(settings.allowed().maxRetryAfterUs(), (long) p.node.expected()) : 0;
+    out.accept(p.refusable() ? new Refuse(p.request.id(), retryIn) : new Fail(p.request.id()));
     finish(p);
   }
 
--- a/src/test/java/hollyslip/HeldTest.java
+++ b/src/test/java/hollyslip/HeldTest.java
@@ -41,6 +41,30 @@
     assertTrue(answeredAfter(300_000) <= 150_000);
   }
 
+  @Test
+  void aRefusalSaysWhenToComeBackWhereTheSettingsAllowIt() {
+    Settings s = Worlds.settings();
+    for (boolean allowed : new boolean[]{true, false}) {
+      Choice c = new Choice(new Settings(7, 0, 2, "a", 2_000, false, s.classes(), s.plans(), s.rules(),
+          new Allowed(4, false, false, false, allowed, 90_000, 250_000), s.store(), s.reportSource(), s
+              .reportFields()));
+      List<Action> all = new ArrayList<>();
+      c.handle(START, new NodeList(true, List.of(Worlds.node(1, 0, NodeState.ON, 0))), all::add);
+      int more = (int) Choice.WINDOW_START + 1;
+      for (int i = 1; i <= more; i++) {
+        c.handle(START, Worlds.request(i, "read", "free", 5L, 9, 2, 0), all::add);
+      }
+      c.handle(START + Worlds.SAFE.aimUs(), new TimerDue(0), all::add);
+      long retryIn = all.stream()
+          .filter(a -> a instanceof Refuse r && r.request() == more)
+          .mapToLong(a -> ((Refuse) a).retryInUs())
+          .findFirst()
+          .orElseThrow();
+      // Nothing was answered for so long that the bound holds.
+      assertEquals(allowed ? 90_000 : 0, retryIn);
+    }
+  }
+
   @Test
   void volumesThatAskNoMoreAreForgotten() throws Exception {
     Choice c = new Choice(Worlds.settings());
--- a/src/test/java/hollyslip/platform/FrontTest.java
+++ b/src/test/java/hollyslip/platform/FrontTest.java
@@ -253,6 +253,27 @@
     }
   }
 
+  /** More than the window holds are out at a disk server that does not answer. */
+  @Test
+  void aRefusalComesSoonAndSaysWhenToComeBack() throws Exception {
+    List<Site.Client> out = new ArrayList<>();
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      for (int i = 0; i < 4; i++) {
+        out.add(site.client().send(Site.read("out" + i)));
+        site.disk.next();
+      }
+      client.send(Site.read("t1").replace("20000m", "400m"));
+      String answer = client.answer();
+      assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+      assertTrue(answer.matches("(?s).*\r\nRetry-After: [0-2]\\.[0-9]{3}\r\n.*"), answer);
+      site.disk.nothingElse();
+    } finally {
+      for (Site.Client c : out) {
+        c.close();
+      }
+    }
+  }
+
   @Test
   void afterAStopWhatIsOpenIsAnsweredAndItEnds() throws Exception {
     try (Site site = new Site(); Site.Client open = site.client(); Site.Client idle = site.client()) {
