A device whose client cut its memory short no longer spins on it without end

Seen with 12 copies of the class beside each other: 2 failures in 80 runs; stacks of three that hung show device-stock at 100% of a core in Device.turn, going round between Requests.take and Spin.until. Ruled out: a sleep without end (the thread was runnable), a lock, the client. At fault: Device.turn returned when the spin saw work, before ClientMemory.settled: a ring that is gone shows work to one look and none to the next, and no call into the JVM ever told.

--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -147,19 +147,25 @@
       looksAt(0);
       return;
     }
-    if (spin.until(Long.MAX_VALUE, work)) {
+    boolean seen = spin.until(Long.MAX_VALUE, work);
+    settle();
+    if (seen) {
       return;
     }
     sleeping = true;
     boolean more = requests.roomNow() | requests.anyMoreOrKick() | requests.answersWait() | over | grown;
-    // What was looked at may be gone, and nothing seen for that reason: the JVM would tell only when the
-    // sleep,
-    // which has no end, is over. Harm: some tens of ns before each sleep.
-    Violation.check(ClientMemory.settled(), "memory region: cut short while in use");
+    settle();
     looksAt(more ? 0 : -1);
     sleeping = false;
   }
 
+  /** What was looked at may be gone, and anything seen for that reason. The JVM would tell only once this
+   * thread calls into it: when a sleep that has no end is over, or never, where one look sees work and the
+   * next does not. Harm: some tens of ns after each look in vain. */
+  private static void settle() {
+    Violation.check(ClientMemory.settled(), "memory region: cut short while in use");
+  }
+
   /** Waits for kicks, letters and messages. While there is work, the socket is looked at now and then. */
   private void looksAt(int ms) throws IOException {
     if (ms == 0 && ++quiet % 64 != 0 && !messages.rings().isEmpty() && messages.draining() == null) {
