--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -1035,17 +1035,16 @@
     }
   }
 
+  /** A connection that broke, or failed once, tells of no wait: taken for one it held a node that answers in
+   * ms for most of a second. Harm: one more attempt goes to a process that is gone. */
   private void judge(Node n, Pending p, Outcome o) {
-    switch (o.result()) {
-      case OK -> n.answered(Math.max(1, o.tookUs() - beyondMean(p)));
-      case FULL -> n.seeNone(UNSEEN * shortestAim);
-      case CONNECT_FAILED -> { n.seeNone(UNSEEN * shortestAim); n.refused++; }
-      case TIMEOUT, RESET -> {
-        if (p.sentAt > n.answeredSentAt && !p.overdue) {
-          n.noAnswer();
-        }
-      }
-      default -> {}
+    n.refused += o.result() == Result.CONNECT_FAILED ? 1 : 0;
+    if (o.result() == Result.OK) {
+      n.answered(Math.max(1, o.tookUs() - beyondMean(p)));
+    } else if (o.result() == Result.FULL || o.result() == Result.CONNECT_FAILED && n.refused >= DOWN_AFTER) {
+      n.seeNone(UNSEEN * shortestAim);
+    } else if (o.result() == Result.TIMEOUT && p.sentAt > n.answeredSentAt && !p.overdue) {
+      n.noAnswer();
     }
   }
 
