--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -45,9 +45,10 @@
    * estimate has faded. Harm: of a longer queue a host forgets sooner. */
   static final double UNSEEN = 2;
 
-  /** A safe attempt sent in time is given up this part of its aim after it: nodes that drop what is given up
-   * lose what earns little; harm: where they do not, a late answer is missed. */
-  static final double GIVE_UP = 0.5;
+  /** What may be repeated is given up this part of its aim after it: nodes that drop it lose what earns
+   * little. A first attempt so many expected latencies before it, but after so many: it is lost, a second may
+   * come in time. Harm: a late answer is missed, work is done twice. */
+  static final double GIVE_UP = 0.5, LEFT = 2, SURELY_LOST = 6;
 
   /** Weight of one more silence in what they mean; least weight of a new latency in the estimate: about the
    * last ten answers of a node often used. */
@@ -66,8 +67,8 @@
    * not passed before: the rest is the client's, to ask again. Harm: what might have come late does not. */
   static final double HELD = 0.5;
 
-  /** Pauses, us: after an attempt that failed, a few service times; until a held request that a guard stops
-   * is looked at again; before the list is asked for again, which is load. */
+  /** Pauses, us: after an attempt that failed at once, a few service times; until a held request that a guard
+   * stops is looked at again; before the list is asked for again, which is load. */
   static final long RETRY_PAUSE = 30_000, POLL = 10_000, LIST_RETRY = 500_000;
 
   /** Refused connections in a row that tell of a node that is down, rather than out of connections. */
@@ -137,8 +138,8 @@
       room = Math.min(rules.budgetFree(), room + requests * rules.budgetShare());
     }
 
-    void spend() {
-      room -= rules.budgetWindowUs() > 0 ? 1 : 0;
+    void spend(int attempts) {
+      room -= rules.budgetWindowUs() > 0 ? attempts : 0;
     }
 
     boolean allows() {
@@ -972,9 +973,7 @@
     Volume v = p.at;
     v.fill(now);
     v.tokens -= p.request.units();
-    if (p.attempts > 0) {
-      budget.spend();
-    }
+    budget.spend(p.attempts > 0 ? 1 : 0);
     if (p.limit != null && !p.paid) {
       p.limit.add(-p.request.units());
     }
@@ -995,8 +994,10 @@
     if (n.cold()) {
       n.safe.add(-p.request.units());
     }
-    boolean givenUp = p.rules.effect() == Effect.SAFE && now < p.aimAt;
-    out.accept(new Send(p.request.id(), n.id, givenUp ? p.aimAt + (long) (GIVE_UP * p.rules.aimUs()) : 0));
+    double wait = n.wait + Math.max(0, beyondMean(p)), late = p.aimAt + GIVE_UP * p.rules.aimUs();
+    double soon = Math.max(p.aimAt - LEFT * wait, now + SURELY_LOST * wait);
+    long at = (long) (p.attempts > 1 || !budget.allows() ? late : Math.min(late, soon));
+    out.accept(new Send(p.request.id(), n.id, now < p.aimAt && p.repeatable(n, at) ? at : 0));
   }
 
   private void outcome(Outcome o) {
@@ -1055,7 +1056,7 @@
     if (last || never || o.result() == Result.CANCELLED) {
       end(p);
     } else {
-      p.notBefore = now + RETRY_PAUSE;
+      p.notBefore = o.result() == Result.TIMEOUT ? now : now + RETRY_PAUSE;
       place(p);
     }
   }
