--- a/src/main/java/hollyslip/platform/Discovery.java
+++ b/src/main/java/hollyslip/platform/Discovery.java
@@ -39,6 +39,7 @@
   private final Clock clock;
   private final Log log;
   private final Consumer<ListNews> news;
+  private final Runnable speaks;
   private InetSocketAddress address;
   /** Version last heard; -1: none, the whole list is asked for. */
   private long seq;
@@ -47,15 +48,19 @@
   private boolean stopped;
 
   /** @param seq
-   *          version of the list that is in force, -1: none */
+   *          version of the list that is in force, -1: none
+   * @param speaks
+   *          called when a watch is answered: what is told after that version follows at once, and nothing if
+   *          nothing has changed */
   Discovery(EventLoop loop, Clock clock, Log log, InetSocketAddress address, long seq,
-      Consumer<ListNews> news) {
+      Consumer<ListNews> news, Runnable speaks) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.address = address;
     this.seq = seq;
     this.news = news;
+    this.speaks = speaks;
   }
 
   void start() {
@@ -179,9 +184,12 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       try {
         heardAt = clock.now();
-        if (!over && message instanceof HttpResponse r && (r.decoderResult().isFailure() || r.status()
-            .code() != 200)) {
-          ended("status " + r.status().code());
+        if (!over && message instanceof HttpResponse r) {
+          if (r.decoderResult().isFailure() || r.status().code() != 200) {
+            ended("status " + r.status().code());
+          } else if (seq >= 0) {
+            speaks.run();
+          }
         }
         if (!over && message instanceof HttpContent c) {
           content(c.content());
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -19,7 +19,7 @@
 /** One scheduler of the platform, from its start to its end: one event loop owns sockets, timers and the
  * module. */
 public final class Node implements AutoCloseable {
-  /** How long a start waits for discovery's first word before clients may come, ms: an old list serves better
+  /** How long a start waits for discovery to answer before clients may come, ms: an old list serves better
    * than none. */
   private static final long FIRST_WORD_MS = 400;
 
@@ -27,12 +27,13 @@
    * longer, and 0.7 s more, us. */
   private static final long LONGEST_COUNTED_US = 3_000_000;
 
-  /** What is taken after SIGTERM is answered so long after that deadline, us: 0.2 s before the kill. */
-  private static final long ANSWERED_US = 500_000;
+  /** What is taken after SIGTERM is answered so long after that deadline, us: 0.25 s before the kill. */
+  private static final long ANSWERED_US = 450_000;
 
   /** How long before that connections that carry nothing are closed and answers end theirs, us: until then
-   * clients are served on the connections that they keep, as they have no other way here. */
-  private static final long PARTING_US = 400_000;
+   * clients are served on the connections that they keep, as they have no other way here. Harm: what comes in
+   * the last moments is refused. */
+  private static final long PARTING_US = 50_000;
 
   private final Configuration configuration;
   private final Map<String, String> environment;
@@ -68,7 +69,7 @@
     front = new Front(loop, clock, log, desk, new Ask.Reader(configuration.settings(), configuration
         .shards()), bounds);
     long seq = configuration.known() == null ? -1 : configuration.known().seq();
-    discovery = new Discovery(loop, clock, log, followed, seq, this::news);
+    discovery = new Discovery(loop, clock, log, followed, seq, this::news, this::ready);
     loop.submit(() -> {
       if (configuration.known() != null) {
         ListNews k = configuration.known();
@@ -174,13 +175,19 @@
           .mapToLong(c -> c.deadlineUs())
           .max()
           .orElseThrow();
-      long answeredAfter = Math.min(longest, LONGEST_COUNTED_US) + ANSWERED_US;
+      long answeredAfter = answeredAfterUs(longest);
       log.event("node.stopping", "open", desk.open());
       desk.answerAllBy(clock.now() + answeredAfter);
       loop.schedule(this::part, answeredAfter - PARTING_US, TimeUnit.MICROSECONDS);
     });
   }
 
+  /** Until when what comes after SIGTERM is answered, us from then; {@code longest} is the longest
+   * deadline. */
+  static long answeredAfterUs(long longest) {
+    return Math.min(longest, LONGEST_COUNTED_US) + ANSWERED_US;
+  }
+
   private void part() {
     front.part();
     loop.scheduleAtFixedRate(log.guarded(this::endIfDone), 0, 10, TimeUnit.MILLISECONDS);
--- a/src/test/java/hollyslip/platform/NodeTest.java
+++ b/src/test/java/hollyslip/platform/NodeTest.java
@@ -4,9 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.File;
+import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -27,6 +33,35 @@
     }
   }
 
+  /** A restart cost 0.4 s of waiting on the day of reloads: nothing is told after the version that is
+   * known. */
+  @Test
+  void discoverySpeaksWithTheHeadOfItsWatch() throws Exception {
+    CountDownLatch spoken = new CountDownLatch(1);
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try (Peer agent = new Peer()) {
+      InetSocketAddress at = ListNews.address(agent.address(), "agent");
+      Discovery d = new Discovery((EventLoop) group.next(), new Clock(), new Log(System.out), at, 41,
+          n -> {}, spoken::countDown);
+      group.submit(d::start).sync();
+      Peer.Came watch = agent.next();
+      assertEquals(1, spoken.getCount());
+      watch.answer(Site.WATCH);
+      assertTrue(spoken.await(20, TimeUnit.SECONDS));
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+  }
+
+  /** The platform kills 0.7 s after the longest deadline, counted as 3 s where it is longer. */
+  @Test
+  void afterAStopClientsAreServedUntilShortlyBeforeTheKill() {
+    for (long longest : new long[]{200_000, 1_670_000, 3_000_000, 20_000_000}) {
+      long kill = Math.min(longest, 3_000_000) + 700_000;
+      assertEquals(kill - 250_000, Node.answeredAfterUs(longest));
+    }
+  }
+
   /** Ids, volumes, keys and disk servers that are always new leave nothing behind. */
   @Test
   void whatHasEndedIsForgotten() throws Exception {
