--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -103,7 +103,7 @@
   private double lost;
   private long now, seq, periodEnd, sweepAt;
   private long launchedAt = Long.MIN_VALUE, timerAt = Long.MAX_VALUE, listRetryAt = Long.MAX_VALUE;
-  private boolean blocked;
+  private boolean blocked, stopping;
 
   public Choice(Settings settings) {
     this.settings = Objects.requireNonNull(settings, "settings");
@@ -154,10 +154,6 @@
     private double depth, rate, level;
     private long at;
 
-    Limit(Plan plan, int hosts, long at) {
-      this(plan.limit() / hosts, plan.limitBurst() / hosts, 0, at);
-    }
-
     Limit(double perSecond, double depth, double level, long at) {
       this.depth = depth;
       this.level = level;
@@ -303,10 +299,7 @@
     /** When the bucket has, or had, enough for so many units. */
     double dueAt(double units) {
       double missing = Math.min(units, depth) - tokens;
-      if (rate <= 0) {
-        return missing <= 0 ? filledAt : Double.MAX_VALUE;
-      }
-      return filledAt + missing / rate;
+      return rate > 0 ? filledAt + missing / rate : missing <= 0 ? filledAt : Double.MAX_VALUE;
     }
   }
 
@@ -653,6 +646,8 @@
     } else if (event instanceof VolumeRemoved gone) {
       leaving.add(gone.volume());
       purge(gone.volume());
+    } else if (event instanceof Stopping) {
+      stopping = true;
     } else if (event instanceof TimerDue && now >= timerAt) {
       timerAt = Long.MAX_VALUE;
     }
@@ -673,7 +668,7 @@
     } else if (limit != null) {
       limit.change(plan.limit() / c.hosts(), plan.limitBurst() / c.hosts(), now);
     } else {
-      limits.put(c.volume(), new Limit(plan, c.hosts(), now));
+      limits.put(c.volume(), new Limit(plan.limit() / c.hosts(), plan.limitBurst() / c.hosts(), 0, now));
     }
     Limit reserve = reserves.get(c.volume());
     if (reserve != null) {
@@ -810,12 +805,16 @@
     int hosts = own != null ? own.hosts() : r.hosts() > 0 ? r.hosts() : settings.hosts();
     Limit limit = plan.limit() <= 0
         ? null
-        : limits.computeIfAbsent(r.volume(), k -> new Limit(plan, hosts, launchedAt));
+        : limits.computeIfAbsent(r.volume(), k -> new Limit(plan.limit() / hosts, plan.limitBurst() / hosts,
+            0, launchedAt));
     double depth = reserveDepth(plan, hosts);
     Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
         now));
     long most = mostRemaining.merge(r.className(), r.remainingUs(), Math::max);
     Pending p = new Pending(r, rules, most, plan, seq++, now, random.nextDouble(), limit, reserve);
+    // Clients make no more connections to a process that ends: what cannot go soon gives its own back, or all
+    // stay away. Harm: what might have gone within its aim.
+    p.answerBy = stopping ? Math.min(p.answerBy, now + (long) usual) : p.answerBy;
     pendings.put(r.id(), p);
     byDeadline.add(p);
     if (p.rules.inOrder() && r.key() != null) {
--- a/src/main/java/hollyslip/HostScheduler.java
+++ b/src/main/java/hollyslip/HostScheduler.java
@@ -171,7 +171,7 @@
 
   /** Something that happened. */
   sealed interface Event permits NodeList, ListFailed, Request, TimerDue, Outcome, Departed, Probed, Started,
-      VolumeChanged, VolumeRemoved {}
+      VolumeChanged, VolumeRemoved, Stopping {}
 
   /** News of the node list; {@code whole}: nodes not named are gone. */
   record NodeList(boolean whole, List<Listed> nodes) implements Event {
@@ -234,6 +234,9 @@
   /** A volume takes no more requests; what is known of it may go when its last one has ended. */
   record VolumeRemoved(long volume) implements Event {}
 
+  /** The process is about to end: clients are served on the connections that they have, and make no more. */
+  record Stopping() implements Event {}
+
   /** Something to be done. */
   sealed interface Action permits Send, Refuse, Fail, Cancel, Probe, SetTimer, Watch {}
 
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -90,9 +90,10 @@
     return servers.size();
   }
 
-  /** What is taken from now on is answered by then, us: the process ends. */
-  void answerAllBy(long at) {
+  /** The process ends: what is taken from now on is answered by then, us. */
+  void stopping(long at) {
     answerBy = at;
+    happened(new HostScheduler.Stopping());
   }
 
   /** Takes a request whose last byte came at {@code cameAt}, us; its id must not be open. */
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -177,7 +177,7 @@
           .orElseThrow();
       long answeredAfter = answeredAfterUs(longest);
       log.event("node.stopping", "open", desk.open());
-      desk.answerAllBy(clock.now() + answeredAfter);
+      desk.stopping(clock.now() + answeredAfter);
       loop.schedule(this::part, answeredAfter - PARTING_US, TimeUnit.MICROSECONDS);
     });
   }
--- a/src/test/java/hollyslip/HeldTest.java
+++ b/src/test/java/hollyslip/HeldTest.java
@@ -18,9 +18,12 @@
   }
 
   /** What follows from a request that no node can take, with the time of its answer. */
-  private static long answeredAfter(long remainingUs) {
+  private static long answeredAfter(long remainingUs, Event... before) {
     Choice c = new Choice(Worlds.settings());
     List<Action> all = new ArrayList<>();
+    for (Event e : before) {
+      c.handle(START, e, all::add);
+    }
     c.handle(START, new NodeList(true, List.of(Worlds.node(1, 0, NodeState.ON, 0))), all::add);
     c.handle(START, read(1, 9, remainingUs), all::add);
     long now = START;
@@ -41,6 +44,13 @@
     assertTrue(answeredAfter(300_000) <= 150_000);
   }
 
+  /** From the day of reloads: all clients of a process that ended stayed away for seconds, once each of their
+   * connections held a request. */
+  @Test
+  void whileTheProcessEndsWhatCannotGoSoonIsRefused() {
+    assertEquals(Choice.LATENCY_GUESS, answeredAfter(2_000_000, new Stopping()), 3_000);
+  }
+
   @Test
   void aRefusalSaysWhenToComeBackWhereTheSettingsAllowIt() {
     Settings s = Worlds.settings();
