Tests that could hardly fail: the end's times, and the word of it to the module by bytes

Read again: the test of the times after SIGTERM repeated the formula and left out when connections part; nothing on sockets showed that the module hears of the end.

--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -178,7 +178,7 @@
       long answeredAfter = answeredAfterUs(longest);
       log.event("node.stopping", "open", desk.open());
       desk.stopping(clock.now() + answeredAfter);
-      loop.schedule(this::part, answeredAfter - PARTING_US, TimeUnit.MICROSECONDS);
+      loop.schedule(this::part, partsAfterUs(longest), TimeUnit.MICROSECONDS);
     });
   }
 
@@ -188,6 +188,11 @@
     return Math.min(longest, LONGEST_COUNTED_US) + ANSWERED_US;
   }
 
+  /** Until when clients are served on the connections that they keep, us from SIGTERM. */
+  static long partsAfterUs(long longest) {
+    return answeredAfterUs(longest) - PARTING_US;
+  }
+
   private void part() {
     front.part();
     loop.scheduleAtFixedRate(log.guarded(this::endIfDone), 0, 10, TimeUnit.MILLISECONDS);
--- a/src/test/java/hollyslip/platform/FrontTest.java
+++ b/src/test/java/hollyslip/platform/FrontTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -291,4 +292,20 @@
       assertTrue(site.node.awaitEnd(20_000));
     }
   }
+
+  /** The module hears of the end: what no disk server can take gives its connection back soon, and not after
+   * half of the time that is left, as one does that came before. */
+  @Test
+  void afterAStopWhatCannotGoIsRefusedSoon() throws Exception {
+    try (Site site = new Site(); Site.Client before = site.client(); Site.Client after = site.client()) {
+      before.send(Site.read("t1", 2).replace("20000m", "2400m"));
+      Awaitility.await().until(() -> site.node.open() == 1);
+      site.node.stop();
+      Awaitility.await().until(() -> site.log.toString().contains("node.stopping"));
+      after.send(Site.read("t2", 2));
+      assertEquals(503, after.status());
+      assertEquals(0, before.socket.getInputStream().available());
+      assertEquals(503, before.status());
+    }
+  }
 }
