--- a/src/main/java/hollyslip/platform/Ask.java
+++ b/src/main/java/hollyslip/platform/Ask.java
@@ -22,10 +22,14 @@
  * @param remainingUs
  *          how long the client waits, from the moment it sent the request
  * @param shard
- *          -1: a new object */
+ *          -1: a new object
+ * @param bodyLength
+ *          bytes; {@link #CHUNKED}: told by the body itself */
 record Ask(String id, String method, String uri, String className, String plan, long key,
     String idempotencyKey, long remainingUs, long volume, double units, int shard, int hosts, boolean again,
-    int bodyLength) {
+    boolean write, int bodyLength) {
+
+  static final int CHUNKED = -1;
 
   /** Characters of an idempotency key at most. */
   private static final int MOST_KEY = 256;
@@ -103,7 +107,7 @@
       String resent = one(h, "X-Resent");
       return new Ask(id(h), method.name(), r.uri(), c.name(), plan(h), hex(path.substring(last + 1), "key"),
           idempotency, remaining(needed(h, "X-Remaining"), c), hex(io.get("volume"), "volume"), units, shard,
-          hosts, "1".equals(resent), length);
+          hosts, "1".equals(resent), c.write(), length);
     }
 
     private String plan(HttpHeaders h) throws Refused {
@@ -124,8 +128,12 @@
     if (!r.protocolVersion().text().equals("HTTP/1.1")) {
       throw new Refused(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "version", true);
     }
-    if (h.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-      throw new Refused(HttpResponseStatus.LENGTH_REQUIRED, "Transfer-Encoding", true);
+    List<String> codings = h.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    if (!codings.isEmpty()) {
+      if (codings.size() > 1 || !codings.get(0).equalsIgnoreCase("chunked")) {
+        throw new Refused(HttpResponseStatus.NOT_IMPLEMENTED, "Transfer-Encoding", true);
+      }
+      return CHUNKED;
     }
     List<String> lengths = h.getAll(HttpHeaderNames.CONTENT_LENGTH);
     if (lengths.isEmpty()) {
--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -1,6 +1,7 @@
 package hollyslip.platform;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,7 +20,9 @@
 import java.util.Locale;
 
 /** One client's connection: requests in, one after the other, and their answers out. It is always read, so
- * that a client's leaving is seen; what comes beyond a bound is dropped. */
+ * that a client's leaving is seen; what comes beyond a bound is dropped. It ends by ending this side's
+ * sending, reading out what still comes, and only then closing: a close over unread bytes would reset the
+ * connection and take the last answer along. */
 final class ClientConnection {
   /** Bytes that are read and dropped before the connection is closed: a client that goes on at full speed
    * after an error would take the event loop's time. Harm: it may see a reset in place of the error. */
@@ -29,26 +32,30 @@
   private static final int MOST_WAITING = 8;
   private static final byte[] NOTHING = {};
 
+  /** What becomes of bytes that come: they are parsed; they are dropped, while answers may still go out; they
+   * are dropped, and this side has ended its sending; there are none any more. */
+  private enum State {
+    OPEN, DISCARDING, SHUT, CLOSED
+  }
+
   private final Front front;
   private final Channel channel;
   private final RequestDecoder decoder = new RequestDecoder();
   private final ArrayDeque<Item> waiting = new ArrayDeque<>();
+  private State state = State.OPEN;
+  private long stateSince;
   /** What is being read: its head, or the answer that its head earned; and its body so far. */
   private Ask ask;
   private Item instead;
-  private byte[] body = NOTHING;
-  private int filled;
+  private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private boolean closeAfter;
 
   private Exchange open;
   private long readAt, idleSince, writingSince = -1;
-  /** Since when part of a request has been here; -1: there is none. */
+  /** Since when part of a request has been here, or one is waited for that should have come first; -1: no. */
   private long partSince;
-  /** What comes is not looked at any more. */
-  private boolean deaf;
-  private long deafSince;
+  private boolean asked, reading;
   private int dropped;
-  private boolean over;
 
   /** Something to be answered in its turn: a request, or an error ({@code status}). */
   private record Item(Ask ask, byte[] body, long cameAt, HttpResponseStatus status, boolean close) {}
@@ -58,6 +65,7 @@
     this.channel = channel;
     partSince = front.now();
     idleSince = partSince;
+    stateSince = partSince;
   }
 
   void open() {
@@ -67,32 +75,69 @@
   /** Since when nothing is open or under way here, us; -1: something is. A request of which a part has come
    * is: a slow one must not lose its connection to others' need of places. */
   long idleSince() {
-    return quiet() && !decoder.within() ? idleSince : -1;
+    return quiet() ? idleSince : -1;
+  }
+
+  /** Whether no request was ever begun on it. */
+  boolean stranger() {
+    return !asked;
+  }
+
+  /** Whether nothing is open, waits or is being read or written. */
+  private boolean quiet() {
+    return state == State.OPEN && open == null && waiting.isEmpty() && writingSince < 0 && !decoder.within();
   }
 
-  boolean quiet() {
-    return open == null && waiting.isEmpty() && writingSince < 0 && !over;
+  /** Ends it if it is quiet once all that has come was read. */
+  void endIfQuiet() {
+    if (quiet()) {
+      readNow();
+      if (quiet()) {
+        shut();
+      }
+    }
+  }
+
+  /** Whether this side has ended its sending and only the client's end is waited for. */
+  boolean isShut() {
+    return state == State.SHUT;
   }
 
+  /** Closes it at once; what has come is read before, as a close over unread bytes is a reset. */
   void close() {
+    readNow();
     channel.close();
   }
 
-  /** Closes what takes too long. */
+  private void readNow() {
+    if (!reading && state != State.CLOSED) {
+      Http.readNow(channel);
+      if (!channel.isActive()) {
+        // The handlers would hear of it only in the loop's next task.
+        closed();
+      }
+    }
+  }
+
+  /** Ends what takes too long. */
   void sweep(long now) {
-    if (deaf && now - deafSince >= Front.LINGER_US && open == null && writingSince < 0) {
-      close();
-    } else if (writingSince >= 0 && now - writingSince >= Front.TAKEN_WITHIN_US) {
+    if (state == State.SHUT && now - stateSince >= Front.LINGER_US || writingSince >= 0 && now
+        - writingSince >= Front.TAKEN_WITHIN_US) {
       close();
-    } else if (!deaf && partSince >= 0 && now - partSince >= Front.WHOLE_WITHIN_US) {
-      framingError(HttpResponseStatus.REQUEST_TIMEOUT);
+    } else if (state == State.OPEN && partSince >= 0 && now - partSince >= Front.WHOLE_WITHIN_US) {
+      if (decoder.within()) {
+        front.log().event("request.not-whole", channel.remoteAddress());
+        framingError(HttpResponseStatus.REQUEST_TIMEOUT);
+      } else {
+        // Nothing came: an answer might meet a first request under way, and be taken for its own.
+        endIfQuiet();
+      }
     }
   }
 
   private void head(HttpRequest r) {
     closeAfter = r.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
-    filled = 0;
-    body = NOTHING;
+    dropBody();
     ask = null;
     instead = null;
     if (r.decoderResult().isFailure()) {
@@ -105,11 +150,14 @@
     }
     try {
       ask = front.reader().read(r);
-      body = ask.bodyLength() == 0 ? NOTHING : new byte[ask.bodyLength()];
-      if (!front.desk().hasRoom(body.length)) {
+      if (ask.bodyLength() != 0) {
+        // Grows with what comes: a length that is only said must not take memory.
+        body = Unpooled.buffer(1024, Bounds.BODY);
+      }
+      if (!front.desk().hasRoom(Math.max(0, ask.bodyLength()))) {
         ask = null;
         instead = error(HttpResponseStatus.SERVICE_UNAVAILABLE);
-      } else if (body.length > 0 && r.headers()
+      } else if (ask.bodyLength() != 0 && r.headers()
           .containsValue(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true) && quiet()) {
         channel.writeAndFlush(Http.bytes("HTTP/1.1 100 Continue\r\n\r\n"));
       }
@@ -128,21 +176,40 @@
   }
 
   private void content(HttpContent c) {
-    ByteBuf part = c.content();
-    if (ask != null && filled + part.readableBytes() <= body.length) {
-      int length = part.readableBytes();
-      part.readBytes(body, filled, length);
-      filled += length;
+    if (c.decoderResult().isFailure()) {
+      framingError(HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    int more = c.content().readableBytes();
+    if (ask != null && more > 0) {
+      if (body.readableBytes() + more > Bounds.BODY) {
+        framingError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        return;
+      }
+      body.writeBytes(c.content());
     }
     if (c instanceof LastHttpContent) {
       partSince = -1;
-      queue(instead != null ? instead : new Item(ask, body, readAt, null, closeAfter));
+      queue(instead != null ? instead : whole());
       ask = null;
       instead = null;
-      body = NOTHING;
+      dropBody();
     }
   }
 
+  private Item whole() {
+    if (!ask.write() && body.isReadable()) {
+      front.log().event("request.bad", "body of a read", channel.remoteAddress());
+      return error(HttpResponseStatus.BAD_REQUEST);
+    }
+    return new Item(ask, body.isReadable() ? ByteBufUtil.getBytes(body) : NOTHING, readAt, null, closeAfter);
+  }
+
+  private void dropBody() {
+    body.release();
+    body = Unpooled.EMPTY_BUFFER;
+  }
+
   private void queue(Item item) {
     if (waiting.size() >= MOST_WAITING) {
       front.log().event("request.too-many-at-once", channel.remoteAddress());
@@ -155,47 +222,45 @@
 
   /** What follows cannot be told apart, or is not wanted: an error in its turn, then the end. */
   private void framingError(HttpResponseStatus status) {
-    if (!deaf) {
-      deaf = true;
-      deafSince = front.now();
+    if (state == State.OPEN) {
+      enter(State.DISCARDING);
       partSince = -1;
+      dropBody();
       waiting.add(new Item(null, null, 0, status, true));
       next();
     }
   }
 
+  private void enter(State next) {
+    state = next;
+    stateSince = front.now();
+  }
+
   /** Goes on to the next in turn, if nothing is open. */
   private void next() {
-    while (open == null && writingSince < 0 && !over && !waiting.isEmpty()) {
+    while (open == null && writingSince < 0 && (state == State.OPEN || state == State.DISCARDING) && !waiting
+        .isEmpty()) {
       Item item = waiting.poll();
       if (item.status != null) {
         answer(item.status, NOTHING, 0, item.close);
+      } else if (front.parting()) {
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NOTHING, 0, item.close);
       } else if (front.desk().isOpen(item.ask.id())) {
         answer(HttpResponseStatus.CONFLICT, NOTHING, 0, item.close);
       } else {
-        take(item);
+        open = front.desk().take(item.ask, item.body, item.cameAt, new Reply(item.close));
       }
     }
   }
 
-  private void take(Item item) {
-    Reply reply = new Reply(item.close);
-    Exchange x = front.desk().take(item.ask, item.body, item.cameAt, reply);
-    if (!reply.given) {
-      open = x;
-    }
-  }
-
   private final class Reply implements Exchange.Reply {
     private final boolean close;
-    boolean given;
 
     Reply(boolean close) {
       this.close = close;
     }
 
     private void give(HttpResponseStatus status, byte[] text, long retryInUs) {
-      given = true;
       open = null;
       answer(status, text, retryInUs, close);
     }
@@ -214,10 +279,16 @@
     public void failed() {
       give(HttpResponseStatus.BAD_GATEWAY, NOTHING, 0);
     }
+
+    @Override
+    public void readNow() {
+      ClientConnection.this.readNow();
+    }
   }
 
   private void answer(HttpResponseStatus status, byte[] text, long retryInUs, boolean close) {
-    boolean last = close || front.stopping();
+    // Whatever was read is answered before the connection ends.
+    boolean last = close || front.parting() && waiting.isEmpty();
     StringBuilder head = new StringBuilder(96).append("HTTP/1.1 ")
         .append(status.code())
         .append(' ')
@@ -241,42 +312,63 @@
           writingSince = -1;
           idleSince = front.now();
           if (!f.isSuccess()) {
-            close();
+            channel.close();
           } else if (last) {
-            end();
+            shut();
           } else {
-            // Not from within the module's turn: what follows may be taken at once.
             next();
           }
         });
   }
 
-  /** Ends this side's sending; the rest goes once the client's side has ended too, or soon. */
-  private void end() {
-    over = true;
+  /** Ends this side's sending; the rest goes once the client's side has ended too, or soon. Nothing that is
+   * read from now on is looked at: the client sends it again elsewhere. */
+  private void shut() {
+    enter(State.SHUT);
+    partSince = -1;
     waiting.clear();
-    deaf = true;
-    deafSince = front.now();
     ((SocketChannel) channel).shutdownOutput();
   }
 
+  /** The connection is gone, and with it whoever waits for what is open. */
+  private void closed() {
+    if (state == State.CLOSED) {
+      return;
+    }
+    enter(State.CLOSED);
+    waiting.clear();
+    dropBody();
+    front.closed(this);
+    if (open != null) {
+      Exchange x = open;
+      open = null;
+      front.desk().departed(x);
+    }
+  }
+
   /** Sees bytes before the codec does. */
   private final class Reads extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      if (deaf) {
+      if (state != State.OPEN) {
         dropped += ((ByteBuf) message).readableBytes();
         ReferenceCountUtil.release(message);
         if (dropped > MOST_DROPPED) {
-          close();
+          channel.close();
         }
         return;
       }
+      asked = true;
       readAt = front.now();
       if (partSince < 0) {
         partSince = readAt;
       }
-      ctx.fireChannelRead(message);
+      reading = true;
+      try {
+        ctx.fireChannelRead(message);
+      } finally {
+        reading = false;
+      }
       if (partSince >= 0 && !decoder.within()) {
         partSince = -1;
       }
@@ -287,10 +379,10 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       try {
-        if (!deaf && message instanceof HttpRequest r) {
+        if (state == State.OPEN && message instanceof HttpRequest r) {
           head(r);
         }
-        if (!deaf && message instanceof HttpContent c) {
+        if (state == State.OPEN && message instanceof HttpContent c) {
           content(c);
         }
       } finally {
@@ -300,15 +392,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      deaf = true;
-      over = true;
-      waiting.clear();
-      front.closed(ClientConnection.this);
-      if (open != null) {
-        Exchange x = open;
-        open = null;
-        front.desk().departed(x);
-      }
+      closed();
     }
 
     @Override
@@ -317,7 +401,7 @@
         front.log().event("request.unreadable", cause.getMessage(), channel.remoteAddress());
         framingError(HttpResponseStatus.BAD_REQUEST);
       } else {
-        close();
+        channel.close();
       }
     }
   }
--- a/src/main/java/hollyslip/platform/Configuration.java
+++ b/src/main/java/hollyslip/platform/Configuration.java
@@ -21,7 +21,7 @@
  * @param shards
  *          how many shards there are; 0: not told */
 record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, int memoryMb,
-    int sockets, ListNews known, Settings settings, long idleCloseUs, int shards) {
+    int sockets, EndpointUpdate known, Settings settings, long idleCloseUs, int shards) {
 
   private static final ObjectMapper JSON = new ObjectMapper().enable(
       DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
@@ -53,9 +53,9 @@
       throw new IllegalArgumentException("settings: is missing");
     }
     JsonNode limits = c.path("limits");
-    ListNews known = c.hasNonNull("known") ? ListNews.parse(c.get("known")) : null;
-    return new Configuration(text(c, "name", env, "PROXY_NAME"), ListNews.address(text(c, "listen", env,
-        "PROXY_LISTEN"), "listen"), ListNews.address(text(c, "discovery", env, "PROXY_DISCOVERY"),
+    EndpointUpdate known = c.hasNonNull("known") ? EndpointUpdate.parse(c.get("known")) : null;
+    return new Configuration(text(c, "name", env, "PROXY_NAME"), EndpointUpdate.address(text(c, "listen", env,
+        "PROXY_LISTEN"), "listen"), EndpointUpdate.address(text(c, "discovery", env, "PROXY_DISCOVERY"),
             "discovery"), limits.path("memory_mb").asInt(MEMORY_MB), limits.path("sockets").asInt(SOCKETS),
         known, WireSettings.parse(seed(c.path("seed").asText("0")), settings), Math.round(settings.path(
             "policyLimits").path("idleClose").asDouble() * 1e6), settings.path("extra")
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -46,7 +46,8 @@
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   /** Null: off. */
   private Trace trace;
-  private boolean running;
+  /** The module is to be called in this turn of the loop. */
+  private boolean scheduled;
   private long lastNumber, lastServer, bytes;
   private long answerBy = Long.MAX_VALUE;
 
@@ -93,7 +94,7 @@
   /** The process ends: what is taken from now on is answered by then, us. */
   void stopping(long at) {
     answerBy = at;
-    happened(new HostScheduler.Stopping());
+    post(new HostScheduler.Stopping());
   }
 
   /** Takes a request whose last byte came at {@code cameAt}, us; its id must not be open. */
@@ -104,7 +105,7 @@
     byId.put(ask.id(), x);
     byNumber.put(x.number, x);
     bytes += body.length;
-    happened(new HostScheduler.Request(x.number, ask.className(), ask.plan(), ask.key(), ask.volume(), ask
+    post(new HostScheduler.Request(x.number, ask.className(), ask.plan(), ask.key(), ask.volume(), ask
         .units(), ask.shard(), ask.hosts(), x.deadline - clock.now(), ask.again()));
     return x;
   }
@@ -113,17 +114,18 @@
   void departed(Exchange x) {
     if (!x.over()) {
       x.left();
-      happened(new HostScheduler.Departed(x.number));
+      List.copyOf(calls.getOrDefault(x.number, Map.of()).values()).forEach(disks::withdraw);
+      post(new HostScheduler.Departed(x.number));
       forgetIfDone(x);
     }
   }
 
   /** Takes on what discovery says. */
-  void news(ListNews news) {
+  void news(EndpointUpdate news) {
     long now = clock.now();
     List<Listed> listed = new ArrayList<>();
     Set<String> named = new HashSet<>();
-    for (ListNews.Entry e : news.entries()) {
+    for (EndpointUpdate.Entry e : news.entries()) {
       named.add(e.host());
       DiskServer s = servers.get(e.host());
       if (s == null && e.state() == NodeState.GONE) {
@@ -144,11 +146,11 @@
           .forEach(s -> state(s, NodeState.GONE,
               now));
     }
-    happened(new HostScheduler.NodeList(news.whole(), listed));
+    post(new HostScheduler.NodeList(news.whole(), listed));
     List.copyOf(servers.values()).forEach(this::forgetIfGone);
   }
 
-  private void update(DiskServer s, ListNews.Entry e, long now) {
+  private void update(DiskServer s, EndpointUpdate.Entry e, long now) {
     if (e.bornMs() != s.bornMs) {
       s.bornMs = e.bornMs();
       // Once for each start: the module takes another time for another start.
@@ -180,12 +182,19 @@
     }
   }
 
-  private void happened(Event event) {
+  /** Hands an event to the module, after those before it, once this turn's sockets have been read: what the
+   * module decides never runs in the middle of a read, and a client that left with its request in the same
+   * turn is known to have left. */
+  private void post(Event event) {
     events.add(event);
-    if (running) {
-      return;
+    if (!scheduled) {
+      scheduled = true;
+      loop.execute(this::handleEvents);
     }
-    running = true;
+  }
+
+  private void handleEvents() {
+    scheduled = false;
     for (Event e = events.poll(); e != null; e = events.poll()) {
       try {
         module.handle(clock.now(), e, this::carryOut);
@@ -194,7 +203,6 @@
         timer(clock.now() + AFTER_FAULT_US, 0);
       }
     }
-    running = false;
   }
 
   private void carryOut(Action action) {
@@ -225,7 +233,7 @@
   }
 
   private void timer(long at, long id) {
-    loop.schedule(() -> happened(new HostScheduler.TimerDue(id)), Math.max(0, at - clock.now()),
+    loop.schedule(() -> post(new HostScheduler.TimerDue(id)), Math.max(0, at - clock.now()),
         TimeUnit.MICROSECONDS);
   }
 
@@ -238,14 +246,15 @@
     long now = clock.now();
     DiskServer to = serversByNumber.get(s.node());
     if (to == null || x.over() || attempt >= settings.allowed().maxAttempts()) {
-      happened(new HostScheduler.Outcome(x.number, attempt, s.node(), Result.MOOT, x.over(), 0, 0, 0, null));
+      post(new HostScheduler.Outcome(x.number, attempt, s.node(), Result.MOOT, x.over(), 0, 0, 0, null));
       return;
     }
     x.out++;
     long giveUpAt = s.timeoutAt() > 0 ? Math.min(s.timeoutAt(), x.deadline) : x.deadline;
     long born = to.bornUs;
-    Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> !x.over() && to.bornUs == born
-        && mayStart(to, at), (result, tookUs, headers, body) -> ended(x, attempt, to, result, tookUs, headers,
+    Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> to.bornUs == born && mayStart(
+        to,
+        at) && x.wanted(), (result, tookUs, headers, body) -> ended(x, attempt, to, result, tookUs, headers,
             body));
     calls.computeIfAbsent(x.number, k -> new HashMap<>()).put(attempt, c);
     if (trace != null) {
@@ -273,7 +282,7 @@
     if (result == Result.OK) {
       x.serve(body);
     }
-    happened(new HostScheduler.Outcome(x.number, attempt, from.number, result, x.over(), tookUs, readings
+    post(new HostScheduler.Outcome(x.number, attempt, from.number, result, x.over(), tookUs, readings
         .metered(headers), readings.elsewhere(headers), readings.report(headers)));
     forgetIfDone(x);
     forgetIfGone(from);
@@ -299,7 +308,7 @@
         + " HTTP/1.1\r\nHost: " + Http.authority(to.dial) + "\r\n\r\n"), at -> to.state != NodeState.GONE, (
             result,
             tookUs, headers, body) -> {
-          happened(new HostScheduler.Probed(node, result, tookUs, readings.probed(headers, body)));
+          post(new HostScheduler.Probed(node, result, tookUs, readings.probed(headers, body)));
           forgetIfGone(to);
         }));
   }
--- a/src/main/java/hollyslip/platform/Discovery.java
+++ b/src/main/java/hollyslip/platform/Discovery.java
@@ -1,9 +1,8 @@
 package hollyslip.platform;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -17,34 +16,29 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** Follows the list: one watch, from the last version on. A watch that ends, that says nothing for too long
- * or that cannot be read is begun anew, with pauses. */
+/** Follows the list: one watch, from the last version on. A watch that ends, falls silent or cannot be read
+ * is replaced by a new one; the old one is read until the new one is answered. {@link WatchClock} says
+ * when. */
 final class Discovery {
-  /** Discovery sends an empty line every 2 s at least; a watch as silent as this is dead, us. */
-  private static final long SILENT_US = 5_000_000;
+  private static final long TICK_MS = 100;
 
-  /** Pauses between watches, us: doubled from the first to the last. */
-  private static final long PAUSE_US = 50_000, MOST_PAUSE_US = 1_000_000;
-
-  /** Longest line, bytes: some thousands of disk servers. */
-  private static final int MOST_LINE = 4 << 20;
-
-  private static final ObjectMapper JSON = new ObjectMapper();
+  /** Longest object, bytes: some thousands of disk servers. */
+  private static final int MOST_OBJECT = 1 << 20;
 
   private final EventLoop loop;
   private final Clock clock;
   private final Log log;
-  private final Consumer<ListNews> news;
+  private final Consumer<EndpointUpdate> updates;
   private final Runnable speaks;
+  private final WatchClock times = new WatchClock();
   private InetSocketAddress address;
   /** Version last heard; -1: none, the whole list is asked for. */
   private long seq;
-  private Watch watch;
-  private long pauseUs = PAUSE_US;
+  /** The one that was answered, and the one that is being opened; null: none. */
+  private Watch current, attempt;
   private boolean stopped;
 
   /** @param seq
@@ -53,49 +47,66 @@
    *          called when a watch is answered: what is told after that version follows at once, and nothing if
    *          nothing has changed */
   Discovery(EventLoop loop, Clock clock, Log log, InetSocketAddress address, long seq,
-      Consumer<ListNews> news, Runnable speaks) {
+      Consumer<EndpointUpdate> updates, Runnable speaks) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.address = address;
     this.seq = seq;
-    this.news = news;
+    this.updates = updates;
     this.speaks = speaks;
   }
 
   void start() {
-    loop.scheduleAtFixedRate(log.guarded(this::lookForSilence), 500, 500, TimeUnit.MILLISECONDS);
-    watch();
+    loop.scheduleAtFixedRate(log.guarded(this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    open();
   }
 
-  /** Another address from now on; the list stays in force until it speaks. */
+  /** Another address from now on; the list stays in force until it speaks, and so does an open watch. */
   void follow(InetSocketAddress other) {
     address = other;
-    pauseUs = PAUSE_US;
-    Watch old = watch;
-    watch = null;
-    if (old != null) {
-      old.close();
+    times.restart();
+    if (attempt != null) {
+      attempt.close();
+      attempt = null;
     }
-    watch();
+    open();
   }
 
   void stop() {
     stopped = true;
-    if (watch != null) {
-      watch.close();
+    for (Watch w : new Watch[]{current, attempt}) {
+      if (w != null) {
+        w.close();
+      }
     }
   }
 
-  private void watch() {
+  private void tick() {
+    long now = clock.now();
     if (stopped) {
       return;
     }
-    Watch w = new Watch();
-    watch = w;
+    if (attempt != null && times.attemptOverdue(now)) {
+      attempt.ended("no answer");
+    }
+    if (attempt == null && times.opensAt(now, current != null && current.to.equals(address))) {
+      if (current != null && !current.reported) {
+        current.reported = true;
+        log.event("discovery.lost", current.to, "silent");
+      }
+      open();
+    }
+  }
+
+  private void open() {
+    Watch w = new Watch(address);
+    attempt = w;
+    times.opening(clock.now());
     new Bootstrap().group(loop)
         .channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (WatchClock.ANSWER_US / 1000))
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel ch) {
@@ -111,129 +122,131 @@
         });
   }
 
-  private void lookForSilence() {
-    if (watch != null && clock.now() - watch.heardAt >= SILENT_US) {
-      watch.ended("silent");
-    }
-  }
-
-  /** One object of the watch. */
-  private void line(ListNews n) {
+  /** One object of a watch. */
+  private void take(Watch from, EndpointUpdate n) {
     if (!n.whole() && n.seq() <= seq) {
       // Already known, or of a discovery that began again from an older version: then only the whole list is
       // the truth. A version said again changes nothing.
       if (n.seq() < seq) {
         log.event("discovery.backwards", "from", seq, "to", n.seq());
         seq = -1;
-        watch.ended("an older version");
+        from.ended("an older version");
       }
       return;
     }
     if (n.seq() < seq) {
       log.event("discovery.backwards", "from", seq, "to", n.seq(), "whole");
     }
-    pauseUs = PAUSE_US;
     seq = n.seq();
-    news.accept(n);
+    updates.accept(n);
   }
 
   /** One connection to discovery, from its request to its end. */
   private final class Watch extends ChannelInboundHandlerAdapter {
+    private final InetSocketAddress to;
+    private final JsonStream objects = new JsonStream(MOST_OBJECT);
     private Channel channel;
-    private long heardAt = clock.now();
-    private ByteBuf line = Unpooled.buffer(1024, MOST_LINE);
-    private boolean over;
+    private boolean over, reported;
+
+    Watch(InetSocketAddress to) {
+      this.to = to;
+    }
 
     void close() {
-      if (!over) {
-        over = true;
-        line.release();
-        if (channel != null) {
-          channel.close();
-        }
+      over = true;
+      if (channel != null) {
+        channel.close();
       }
     }
 
-    /** Once; the next one starts after a pause, unless this is no longer the one that counts. */
+    /** Once; the next one starts when {@link WatchClock} says so. */
     void ended(String why) {
       if (over) {
         return;
       }
       close();
-      if (watch == this) {
-        log.event("discovery.lost", address, why);
-        watch = null;
-        long pause = pauseUs;
-        pauseUs = Math.min(MOST_PAUSE_US, 2 * pauseUs);
-        loop.schedule(() -> {
-          if (watch == null) {
-            Discovery.this.watch();
-          }
-        }, pause, TimeUnit.MICROSECONDS);
+      if (this == attempt) {
+        attempt = null;
+      } else if (this == current) {
+        current = null;
       }
+      times.failed(clock.now());
+      log.event("discovery.lost", to, why);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+      if (over) {
+        ctx.close();
+        return;
+      }
       String index = seq < 0 ? "" : "&index=" + seq;
       ctx.writeAndFlush(Http.bytes("GET /v1/endpoints?stream=1" + index + " HTTP/1.1\r\nHost: "
-          + Http.authority(address) + "\r\n\r\n"));
+          + Http.authority(to) + "\r\n\r\n"));
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       try {
-        heardAt = clock.now();
         if (!over && message instanceof HttpResponse r) {
-          if (r.decoderResult().isFailure() || r.status().code() != 200) {
-            ended("status " + r.status().code());
-          } else if (seq >= 0) {
-            speaks.run();
-          }
+          head(r);
         }
         if (!over && message instanceof HttpContent c) {
-          content(c.content());
-          if (c instanceof LastHttpContent) {
-            ended("its end");
-          }
+          content(c);
         }
       } finally {
         ReferenceCountUtil.release(message);
       }
     }
 
-    private void content(ByteBuf part) {
-      while (part.isReadable() && !over) {
-        int end = part.bytesBefore((byte) '\n');
-        int length = end < 0 ? part.readableBytes() : end;
-        if (line.readableBytes() + length > MOST_LINE) {
-          ended("line too long");
-          return;
-        }
-        line.writeBytes(part, length);
-        if (end >= 0) {
-          part.skipBytes(1);
-          whole();
-        }
+    private void head(HttpResponse r) {
+      int status = r.status().code();
+      if (!r.decoderResult().isFailure() && status >= 100 && status < 200) {
+        return;
+      }
+      if (r.decoderResult().isFailure() || status != 200) {
+        ended("status " + status);
+        return;
+      }
+      if (current != null) {
+        current.close();
+      }
+      current = this;
+      attempt = null;
+      times.answered(clock.now());
+      if (seq >= 0) {
+        speaks.run();
       }
     }
 
-    private void whole() {
-      String text = line.toString(StandardCharsets.UTF_8).trim();
-      line.clear();
-      if (text.isEmpty()) {
+    private void content(HttpContent c) {
+      if (this != current) {
+        return;
+      }
+      if (c.decoderResult().isFailure()) {
+        ended("its framing");
         return;
       }
       try {
-        line(ListNews.parse(JSON.readTree(text)));
+        byte[] part = ByteBufUtil.getBytes(c.content());
+        objects.feed(part, this::object);
+        if (part.length > 0 && !objects.within()) {
+          times.heard(clock.now());
+        }
       } catch (IOException | IllegalArgumentException e) {
         log.event("discovery.unreadable", e.getMessage());
-        ended("a line that cannot be read");
+        ended("what cannot be read");
+      }
+      if (c instanceof LastHttpContent) {
+        ended("its end");
       }
     }
 
-    private void line(ListNews n) {
-      Discovery.this.line(n);
+    private void object(JsonNode o) {
+      if (!over) {
+        times.heard(clock.now());
+        take(this, EndpointUpdate.parse(o));
+      }
     }
 
     @Override
--- a/src/main/java/hollyslip/platform/DiskConnection.java
+++ b/src/main/java/hollyslip/platform/DiskConnection.java
@@ -40,6 +40,8 @@
   private HttpResponse head;
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private int interim;
+  /** The answer itself tells where it ends. */
+  private boolean framed;
   private boolean closed;
 
   DiskConnection(DiskServer to, InetSocketAddress address, Channel channel, DiskServers owner) {
@@ -55,6 +57,11 @@
     p.addLast(new Guard(), decoder, new Answers());
   }
 
+  /** Takes in what has come. */
+  void readNow() {
+    Http.readNow(channel);
+  }
+
   boolean usable() {
     return !closed && call == null && channel.isActive();
   }
@@ -133,15 +140,16 @@
       }
       return;
     }
-    boolean framed = HttpUtil.isTransferEncodingChunked(r) || r.headers()
-        .contains(HttpHeaderNames.CONTENT_LENGTH) && !r.headers()
-            .contains(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean coded = r.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
     long length = HttpUtil.getContentLength(r, 0L);
-    if (!framed || length > Bounds.ANSWER) {
+    if (coded && !HttpUtil.isTransferEncodingChunked(r) || length > Bounds.ANSWER) {
       spoilt("length: " + r.headers().entries());
       return;
     }
     head = r;
+    // Without a length it is whole at the connection's end, but not at a reset: exceptionCaught comes first
+    // then.
+    framed = coded || r.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     // Grows with what comes beyond this: a length that is only said must not take memory.
     body = Unpooled.buffer((int) Math.max(64, Math.min(length, 8 * Bounds.BODY)), Bounds.ANSWER);
   }
@@ -171,7 +179,7 @@
     dropBody();
     call = null;
     head = null;
-    boolean clean = c.written && decoder.left() == 0 && !r.headers()
+    boolean clean = framed && c.written && decoder.left() == 0 && !r.headers()
         .containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
     if (clean) {
       owner.free(this);
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -3,12 +3,12 @@
 import hollyslip.HostScheduler.Result;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -88,9 +88,13 @@
     c.to.calls++;
     long now = now();
     c.timeout = loop.schedule(() -> timedOut(c), Math.max(0, c.giveUpAt - now), TimeUnit.MICROSECONDS);
+    if (!c.wanted.now(now)) {
+      c.end(Result.MOOT, now);
+      return;
+    }
     DiskConnection kept = kept(c.to, now);
     if (kept != null) {
-      write(kept, c, now);
+      kept.start(c, now);
     } else if (open() < most || evict()) {
       dial(c);
     } else {
@@ -110,6 +114,14 @@
     }
   }
 
+  /** Gives a call up of which nothing was written yet. */
+  void withdraw(Call c) {
+    if (!c.written && c.connection == null) {
+      waiting.remove(c);
+      cancel(c);
+    }
+  }
+
   private void write(DiskConnection on, Call c, long now) {
     if (c.wanted.now(now) && now < c.giveUpAt) {
       on.start(c, now);
@@ -119,13 +131,24 @@
     }
   }
 
-  /** The most recently used connection that has proved itself clean and is not about to be closed. */
+  /** The most recently used connection that has proved itself clean and is not about to be closed. What came
+   * on it since is read first: bytes that answer nothing, or its end, must not meet the next request. */
   private DiskConnection kept(DiskServer to, long now) {
     closeOld(to, now);
+    for (DiskConnection c = rested(to, now); c != null; c = rested(to, now)) {
+      to.idle.remove(c);
+      c.readNow();
+      if (c.usable()) {
+        return c;
+      }
+    }
+    return null;
+  }
+
+  private static DiskConnection rested(DiskServer to, long now) {
     for (var it = to.idle.descendingIterator(); it.hasNext();) {
       DiskConnection c = it.next();
       if (now - c.freeAt >= REST_US && c.usable()) {
-        it.remove();
         return c;
       }
     }
@@ -169,13 +192,11 @@
       if (done.isSuccess()) {
         up(f.channel(), to, address, c);
       } else {
-        boolean theirs = done.cause() instanceof ConnectException || done
-            .cause() instanceof java.net.SocketException && !String.valueOf(done.cause().getMessage())
-                .contains("open files");
-        if (theirs) {
-          c.end(Result.CONNECT_FAILED, now());
-        } else {
+        if (done.cause() instanceof ChannelException) {
+          // Thrown where there is no socket at all; all else is the other side's doing.
           noDescriptor(c, done.cause());
+        } else {
+          c.end(Result.CONNECT_FAILED, now());
         }
       }
       serveWaiting();
--- a/src/main/java/hollyslip/platform/ListNews.java
+++ b/src/main/java/hollyslip/platform/EndpointUpdate.java
@@ -15,8 +15,8 @@
  *          the version
  * @param whole
  *          who is not named is gone */
-record ListNews(long seq, boolean whole, List<Entry> entries) {
-  ListNews {
+record EndpointUpdate(long seq, boolean whole, List<Entry> entries) {
+  EndpointUpdate {
     entries = List.copyOf(entries);
   }
 
@@ -26,7 +26,7 @@
 
   /** @throws IllegalArgumentException
    *           naming what is missing or cannot be read; nothing of it counts then */
-  static ListNews parse(JsonNode m) {
+  static EndpointUpdate parse(JsonNode m) {
     if (m == null || !m.isObject()) {
       throw new IllegalArgumentException("list: must be an object");
     }
@@ -38,7 +38,7 @@
     }
     List<Entry> entries = new ArrayList<>();
     m.get("hosts").forEach(e -> entries.add(entry(e)));
-    return new ListNews(m.get("seq").asLong(), m.path("whole").asBoolean(), entries);
+    return new EndpointUpdate(m.get("seq").asLong(), m.path("whole").asBoolean(), entries);
   }
 
   private static Entry entry(JsonNode e) {
--- a/src/main/java/hollyslip/platform/Exchange.java
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -13,6 +13,10 @@
     void refused(long retryInUs);
 
     void failed();
+
+    /** Reads what has come from the client and may so hear that it left: {@link Desk#departed} is called
+     * then, before this returns. */
+    void readNow();
   }
 
   final Ask ask;
@@ -38,6 +42,14 @@
     return over;
   }
 
+  /** Whether it is still open once all that came from its client has been read. */
+  boolean wanted() {
+    if (!over) {
+      reply.readNow();
+    }
+    return !over;
+  }
+
   void left() {
     over = true;
   }
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -33,6 +33,9 @@
 
   private static final long SWEEP_MS = 100;
 
+  /** One of so many places free, or less, is a crowd. */
+  private static final int CROWDED = 8;
+
   private final EventLoop loop;
   private final Clock clock;
   private final Log log;
@@ -41,7 +44,9 @@
   private final int most, mayIdle;
   private final Set<ClientConnection> all = new LinkedHashSet<>();
   private Channel listener;
-  private boolean ready, stopping, full;
+  private boolean ready, parting, full;
+  /** Connections that ever came, now and when it was last asked whether all is done. */
+  private long accepted, acceptedBefore = -1;
 
   Front(EventLoop loop, Clock clock, Log log, Desk desk, Ask.Reader reader, Bounds bounds) {
     this.loop = loop;
@@ -65,6 +70,7 @@
           protected void initChannel(Channel ch) {
             ClientConnection c = new ClientConnection(Front.this, ch);
             all.add(c);
+            accepted++;
             c.open();
             if (all.size() >= most) {
               makeRoom(now());
@@ -95,23 +101,35 @@
   }
 
   boolean ready() {
-    return ready && !stopping;
+    return ready && !parting;
   }
 
-  boolean stopping() {
-    return stopping;
+  /** The end is near: nothing more is taken, and connections end with what was read on them answered. */
+  boolean parting() {
+    return parting;
   }
 
   void setReady() {
     ready = true;
   }
 
-  /** The end is near: takes no further connection, ends those that carry nothing, and the others with their
-   * next answer. */
+  /** Ends connections that carry nothing, and the others with the answer to what was read on them. Those that
+   * still come are answered too: what the system has accepted counts as taken. */
   void part() {
-    stopping = true;
+    parting = true;
+    List.copyOf(all).forEach(ClientConnection::endIfQuiet);
+    resume();
+  }
+
+  /** Stops listening if nothing is open and nobody has come since the last call; gives whether it did. */
+  boolean endIfDone() {
+    boolean came = accepted != acceptedBefore;
+    acceptedBefore = accepted;
+    if (came || !all.isEmpty()) {
+      return false;
+    }
     listener.close();
-    List.copyOf(all).stream().filter(ClientConnection::quiet).forEach(ClientConnection::close);
+    return true;
   }
 
   int connections() {
@@ -121,27 +139,39 @@
   void closed(ClientConnection c) {
     all.remove(c);
     if (full && all.size() < most) {
-      full = false;
-      listener.config().setAutoRead(true);
+      resume();
     }
   }
 
-  /** Connections that were idle for long enough go, longest first, but for some that may stay; while no place
-   * is free, new ones wait in the system's queue. Guards places against strangers who come by the hundreds
-   * and say nothing, and against clients that ask once and stay: their own side's places are as few. Harm: an
-   * ordinary client whose kept connection went connects anew. */
+  private void resume() {
+    full = false;
+    listener.config().setAutoRead(true);
+  }
+
+  /** Connections that carry nothing go: those on which nothing was ever asked first, at once, then the
+   * longest idle of the others, after the time that is theirs, but for some that may stay. While no place is
+   * free, new ones wait in the system's queue. Guards places against strangers who come by the hundreds and
+   * say nothing, and against clients that ask once and stay: their own side's places are as few. Harm: an
+   * ordinary client whose kept connection went connects anew; one that is slow to ask comes again. */
   private void makeRoom(long now) {
     int idle = 0;
     for (ClientConnection c : all) {
       idle += c.idleSince() >= 0 ? 1 : 0;
     }
-    if (idle > mayIdle) {
+    int excess = Math.max(idle - mayIdle, 0);
+    if (excess > 0) {
+      boolean crowded = all.size() >= most - most / CROWDED;
       all.stream()
-          .filter(c -> c.idleSince() >= 0 && now - c.idleSince() >= IDLE_US)
-          .sorted(Comparator.comparingLong(ClientConnection::idleSince))
-          .limit(idle - mayIdle)
+          .filter(c -> c.idleSince() >= 0 && (crowded && c.stranger() || now - c.idleSince() >= IDLE_US))
+          .sorted(Comparator.comparing((ClientConnection c) -> !c.stranger())
+              .thenComparingLong(ClientConnection::idleSince))
+          .limit(excess)
           .toList()
-          .forEach(ClientConnection::close);
+          .forEach(ClientConnection::endIfQuiet);
+    }
+    if (all.size() >= most) {
+      // Their ends were told; what they still send is not looked at.
+      all.stream().filter(ClientConnection::isShut).toList().forEach(ClientConnection::close);
     }
     if (all.size() >= most && !full) {
       full = true;
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -11,9 +11,13 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
 
 /** One scheduler of the platform, from its start to its end: one event loop owns sockets, timers and the
@@ -72,8 +76,8 @@
     discovery = new Discovery(loop, clock, log, followed, seq, this::news, this::ready);
     loop.submit(() -> {
       if (configuration.known() != null) {
-        ListNews k = configuration.known();
-        desk.news(new ListNews(k.seq(), true, k.entries()));
+        EndpointUpdate k = configuration.known();
+        desk.news(new EndpointUpdate(k.seq(), true, k.entries()));
       }
       discovery.start();
     }).sync();
@@ -96,8 +100,18 @@
       Rehearsal.run();
       return;
     }
-    // One that comes before there is a scheduler must not end the process.
-    Signal.handle(new Signal("HUP"), s -> {});
+    // Signals may come before there is a scheduler: what they ask for is done then.
+    AtomicReference<Node> started = new AtomicReference<>();
+    Set<String> early = ConcurrentHashMap.newKeySet();
+    for (String name : List.of("TERM", "INT", "HUP")) {
+      Signal.handle(new Signal(name), s -> {
+        early.add(s.getName());
+        Node node = started.get();
+        if (node != null) {
+          node.signal(s.getName());
+        }
+      });
+    }
     Node node;
     try {
       node = new Node(System.getenv(), System.out);
@@ -106,18 +120,30 @@
       System.exit(2);
       return;
     }
-    Signal.handle(new Signal("TERM"), s -> node.stop());
-    Signal.handle(new Signal("INT"), s -> node.stop());
-    Signal.handle(new Signal("HUP"), s -> node.reload());
+    started.set(node);
+    List.copyOf(early).forEach(node::signal);
     node.ended.await();
     System.exit(0);
   }
 
+  private void signal(String name) {
+    if (name.equals("HUP")) {
+      reload();
+    } else {
+      stop();
+    }
+  }
+
   /** Where clients connect. */
   InetSocketAddress listening() {
     return listening;
   }
 
+  /** The one thread. */
+  EventLoop loop() {
+    return loop;
+  }
+
   /** Requests that have not ended; disk servers that are remembered. */
   int open() {
     return desk.open();
@@ -127,7 +153,7 @@
     return desk.servers();
   }
 
-  private void news(ListNews n) {
+  private void news(EndpointUpdate n) {
     desk.news(n);
     ready();
   }
@@ -193,13 +219,23 @@
     return answeredAfterUs(longest) - PARTING_US;
   }
 
+  /** Goes to the last part of the end at once: nothing more is taken. */
+  void partNow() {
+    loop.execute(this::part);
+  }
+
+  /** Connections of clients. */
+  int connections() {
+    return front.connections();
+  }
+
   private void part() {
     front.part();
     loop.scheduleAtFixedRate(log.guarded(this::endIfDone), 0, 10, TimeUnit.MILLISECONDS);
   }
 
   private void endIfDone() {
-    if (front.connections() == 0) {
+    if (front.endIfDone()) {
       log.event("node.ended", "open", desk.open());
       ended.countDown();
     }
--- /dev/null
+++ b/src/main/java/hollyslip/platform/WatchClock.java
@@ -0,0 +1,56 @@
+package hollyslip.platform;
+
+/** When a watch is given up and the next one is opened; no I/O, no clock: times are us, handed in. What
+ * discovery has to tell counts as told some seconds after a watch fell silent, whether it arrived or not, so
+ * each phase has its bound: an open watch must say something whole within {@link #SILENT_US}, one that is
+ * being opened must be answered within {@link #ANSWER_US}, and a failed one is followed by the next after a
+ * pause. */
+final class WatchClock {
+  /** Discovery sends an empty line every 2 s at least; half as long again is silence. Harm: a process that
+   * was held up for a second opens a watch in vain. */
+  static final long SILENT_US = 3_000_000;
+
+  /** Connecting and the answer's head: the agent is on this machine and answers without delay. */
+  static final long ANSWER_US = 500_000;
+
+  /** Pauses after failed attempts: doubled from the first to the last. */
+  static final long PAUSE_US = 50_000, MOST_PAUSE_US = 400_000;
+
+  private long heardAt, openedAt, nextAt = Long.MIN_VALUE, pause = PAUSE_US;
+
+  /** Another discovery is asked from now on. */
+  void restart() {
+    pause = PAUSE_US;
+  }
+
+  void opening(long now) {
+    openedAt = now;
+  }
+
+  /** Whether the attempt that is under way has taken too long. */
+  boolean attemptOverdue(long now) {
+    return now - openedAt >= ANSWER_US;
+  }
+
+  /** An attempt came to nothing, or the watch that was in use has ended. */
+  void failed(long now) {
+    // An attempt that used up its time has waited long enough.
+    nextAt = Math.max(now, openedAt + pause);
+    pause = Math.min(MOST_PAUSE_US, 2 * pause);
+  }
+
+  void answered(long now) {
+    heardAt = now;
+  }
+
+  /** Something whole has come: an object, or blanks between two. */
+  void heard(long now) {
+    heardAt = now;
+    pause = PAUSE_US;
+  }
+
+  /** Whether a watch is to be opened now, none being opened already. */
+  boolean opensAt(long now, boolean inUse) {
+    return now >= nextAt && (!inUse || now - heardAt >= SILENT_US);
+  }
+}
--- a/src/test/java/hollyslip/platform/CallsTest.java
+++ b/src/test/java/hollyslip/platform/CallsTest.java
@@ -48,7 +48,7 @@
   }
 
   private static DiskServer at(Peer peer) {
-    return at(ListNews.address(peer.address(), "peer"));
+    return at(EndpointUpdate.address(peer.address(), "peer"));
   }
 
   private void start(DiskServers servers, DiskServer to, long waitUs, boolean wanted) throws Exception {
--- a/src/test/java/hollyslip/platform/DiscoveryTest.java
+++ b/src/test/java/hollyslip/platform/DiscoveryTest.java
@@ -40,6 +40,52 @@
     }
   }
 
+  /** Indented, several in one piece, one in many pieces, without an end of the line. */
+  @Test
+  void aListComesInAnyFormOfJsonAndAnyPieces() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      Peer.Came w = site.discovery.next();
+      String indented = up(42, site.disk, 1).replace(",", ",\n  ").replace("{", "{\r\n\t");
+      w.answer(Site.WATCH);
+      for (String piece : indented.split("(?<=\\G(?s:.{5}))")) {
+        w.answer(Site.chunk(piece));
+      }
+      client.send(Site.read("t1", 1));
+      site.disk.next().ok("x");
+      assertEquals(200, client.status());
+      w.answer(Site.chunk(Site.list(43, false, Site.entry("s-1", site.disk, 1, "removed")) + up(44, site.disk,
+          2)));
+      client.send(Site.read("t2", 2));
+      site.disk.next().ok("x");
+      assertEquals(200, client.status());
+    }
+  }
+
+  /** Discovery was down: nobody answers, or a watch does and falls silent. */
+  @Test
+  void aSilentWatchIsReadUntilTheNextIsAnswered() throws Exception {
+    try (Site site = new Site()) {
+      Peer.Came silent = site.discovery.next();
+      silent.answer(Site.WATCH);
+      Peer.Came unanswered = site.discovery.next();
+      unanswered.awaitClosed();
+      silent.answer(Site.chunk(up(42, site.disk, 1)));
+      served(site, 1);
+      Peer.Came next = site.discovery.next();
+      next.answer(watch(up(43, site.disk, 2)));
+      silent.awaitClosed();
+      served(site, 2);
+    }
+  }
+
+  private static void served(Site site, int shard) throws Exception {
+    try (Site.Client client = site.client()) {
+      client.send(Site.read("t" + shard, shard));
+      site.disk.next().ok("x");
+      assertEquals(200, client.status());
+    }
+  }
+
   static List<String> unusable() {
     return List.of(Site.WATCH + Site.chunk("no json\n"), Site.WATCH + Site.chunk(
         "{\"seq\":50,\"whole\":true,\"hosts\":[{\"host\":\"s-0\",\"dial\":\"name:80\",\"health\":\"up\"}]}\n"),
--- a/src/test/java/hollyslip/platform/DiskServersTest.java
+++ b/src/test/java/hollyslip/platform/DiskServersTest.java
@@ -35,7 +35,8 @@
         "HTTP/1.1 200 OK\r\nX: " + "a".repeat(10_000),
         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc",
         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nabc", "HTTP/1.1 200 OK\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nabc", "HTTP/1.1 200 OK\r\n\r\nabc<reset>",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc<close>",
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
         "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc\r\n\r\n", "HTTP/1.1 OK\r\nContent-Length: 3\r\n\r\nabc",
@@ -50,8 +51,11 @@
     try (Site site = new Site(); Site.Client client = site.client()) {
       client.send(Site.write("pay", "t1", null, "x"));
       Peer.Came c = site.disk.next();
-      c.answer(bytes.replace("<close>", ""));
-      if (bytes.endsWith("<close>")) {
+      c.answer(bytes.replace("<close>", "").replace("<reset>", ""));
+      if (bytes.endsWith("<reset>")) {
+        c.on().setSoLinger(true, 0);
+        c.on().close();
+      } else if (bytes.endsWith("<close>")) {
         c.on().close();
       }
       String answer = client.answer();
@@ -131,6 +135,22 @@
     }
   }
 
+  /** An answer without a length is whole at the connection's end; a reset is none. */
+  @Test
+  void anAnswerWithoutALengthIsWholeAtTheEndOfItsConnection() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      for (String more : List.of("", "Connection: close\r\n")) {
+        client.send(Site.write("pay", "t" + more.length(), null, "x"));
+        Peer.Came c = site.disk.next();
+        c.answer("HTTP/1.1 200 OK\r\n" + more + "\r\nall ");
+        c.answer("of it");
+        c.on().shutdownOutput();
+        assertTrue(client.answer().endsWith("\r\n\r\nall of it"));
+        c.awaitClosed();
+      }
+    }
+  }
+
   @Test
   void connectionsAreUsedAgainOneRequestAtATime() throws Exception {
     try (Site site = new Site(); Site.Client client = site.client()) {
--- a/src/test/java/hollyslip/platform/FrontTest.java
+++ b/src/test/java/hollyslip/platform/FrontTest.java
@@ -72,7 +72,11 @@
     String hidden = write.replace("\r\n\r\nbody", "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") + Site
         .read("hidden");
     return List.of(hidden, hidden.replace("Transfer-Encoding: chunked", "Transfer-Encoding: xchunked"), write
-        .replace("Content-Length: 4", "Transfer-Encoding: chunked"), write.replace("Content-Length: 4",
+        .replace("Content-Length: 4", "Transfer-Encoding: chunked") + "\r\n", write.replace(
+            "Content-Length: 4", "Transfer-Encoding: xchunked"), write
+                .replace("Content-Length: 4", "Transfer-Encoding: gzip, chunked"), write
+                    .replace("Content-Length: 4", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"),
+        write.replace("Content-Length: 4",
             "Content-Length: 4\r\nContent-Length: 5"), write.replace("Content-Length: 4",
                 "Content-Length: -4"), write.replace("Content-Length: 4", "Content-Length: +4"), write
                     .replace("Content-Length: 4", "Content-Length: 0x4"), write.replace("Content-Length: 4",
@@ -105,6 +109,56 @@
     }
   }
 
+  @Test
+  void aChunkedBodyIsSentOnWhole() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      String head = Site.write("put", "t1", "k", "")
+          .replace("Content-Length: 0", "Transfer-Encoding: Chunked");
+      for (String piece : (head + "4;x=y\r\nsome\r\n6\r\n bytes\r\n0\r\nX-Last: 1\r\n\r\n").split(
+          "(?<=\\G.{7})")) {
+        client.send(piece);
+      }
+      Peer.Came c = site.disk.next();
+      assertEquals("some bytes", c.body());
+      assertEquals("10", c.header("Content-Length"));
+      assertNull(c.header("Transfer-Encoding"));
+      assertNull(c.header("X-Last"));
+      c.ok("stored");
+      assertTrue(client.answer().endsWith("stored"));
+      client.send(Site.read("t2").replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+      site.disk.next().ok("empty");
+      assertTrue(client.answer().endsWith("empty"));
+      client.send(Site.read("t3")
+          .replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"));
+      assertEquals(400, client.status());
+      site.disk.nothingElse();
+    }
+  }
+
+  static List<String> oddChunks() {
+    return List.of("-4\r\nbody\r\n0\r\n\r\n", "+4\r\nbody\r\n0\r\n\r\n", "0x4\r\nbody\r\n0\r\n\r\n",
+        "\r\nbody\r\n0\r\n\r\n",
+        "4\nbody\n0\n\n", "4\r\nbodyX0\r\n\r\n", "ffffffffffffffff4\r\nbody\r\n0\r\n\r\n",
+        "80000000\r\nbody\r\n0\r\n\r\n", "4 4\r\nbody\r\n0\r\n\r\n",
+        "10001\r\n" + "x".repeat(65537) + "\r\n0\r\n\r\n", ("1000\r\n" + "x".repeat(4096) + "\r\n").repeat(17)
+            + "0\r\n\r\n");
+  }
+
+  @ParameterizedTest
+  @MethodSource("oddChunks")
+  void aChunkedBodyThatCannotBeReadOrIsTooLongIsNeverSentOn(String body) throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client(); Site.Client other = site.client()) {
+      client.send(Site.write("put", "t1", "k", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+          + body);
+      int status = client.status();
+      assertTrue(status == 0 || status >= 400, () -> "" + status);
+      assertEquals("closed", client.answer());
+      other.send(Site.read("good"));
+      assertEquals("good", site.disk.next().header("X-Txn"));
+      site.disk.nothingElse();
+    }
+  }
+
   @Test
   void anIdThatIsOpenIsAnErrorForTheSecondAndNothingForTheFirst() throws Exception {
     try (Site site = new Site(); Site.Client first = site.client(); Site.Client second = site.client()) {
--- a/src/test/java/hollyslip/platform/NodeTest.java
+++ b/src/test/java/hollyslip/platform/NodeTest.java
@@ -40,7 +40,7 @@
     CountDownLatch spoken = new CountDownLatch(1);
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     try (Peer agent = new Peer()) {
-      InetSocketAddress at = ListNews.address(agent.address(), "agent");
+      InetSocketAddress at = EndpointUpdate.address(agent.address(), "agent");
       Discovery d = new Discovery((EventLoop) group.next(), new Clock(), new Log(System.out), at, 41,
           n -> {}, spoken::countDown);
       group.submit(d::start).sync();
--- a/src/test/java/hollyslip/platform/Site.java
+++ b/src/test/java/hollyslip/platform/Site.java
@@ -10,6 +10,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** One scheduler between scripted peers: shard 0 at {@code disk}, the list at {@code discovery}. */
 final class Site implements AutoCloseable {
@@ -58,6 +60,26 @@
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
 
+  /** Holds the scheduler's thread until the result is closed: what comes meanwhile is met in one turn. */
+  AutoCloseable held() {
+    CountDownLatch release = new CountDownLatch(1);
+    CountDownLatch holding = new CountDownLatch(1);
+    node.loop().execute(() -> {
+      holding.countDown();
+      try {
+        release.await(20, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    try {
+      holding.await(20, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return release::countDown;
+  }
+
   Client client() throws IOException {
     return new Client(node.listening());
   }
@@ -113,6 +135,12 @@
       }
     }
 
+    /** Ends the connection by a reset. */
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
     int status() throws IOException {
       String a = answer();
       return a.equals("closed") ? 0 : Integer.parseInt(a.substring(9, 12));
