What is out at the end is answered before the kill; repeats start within their window

Stopping says by when all is to be answered and Choice.hasten brings deadlines forward (CrossingsTest, HeldTest). - Choice.send decided on a further attempt of a keyed request within the window, but its connection may come up a quarter of a second later, when the disk server no longer drops the repeat. Send names the last moment at which it may start, and Desk holds to it at the first byte. Taking the connection's time off the window instead was tried first and kept short windows from being used at all (RulesTest showed it). - Choice keeps one limit a volume: requests of one volume that name different plans would draw on the first one's. They have numbers of their own now (Ask.account). - A call that waited for a descriptor could start after the settings' time for a connection; it may not now.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -162,11 +162,12 @@
     }
 
     /** Another rate and depth from now on: what was earned stays as far as it fits, nothing is added. */
-    void change(double perSecond, double newDepth, long now) {
+    Limit change(double perSecond, double newDepth, long now) {
       level = Math.min(newDepth, Math.min(depth, level + rate * (now - at)));
       at = now;
       depth = newDepth;
       rate = perSecond / 1e6;
+      return this;
     }
 
     boolean allows(double units, long now) {
@@ -196,7 +197,7 @@
     final Request request;
     final RequestClass rules;
     final long seq;
-    final long cameAt, deadline, aimAt;
+    final long cameAt, aimAt;
     final Aim aim;
     /** Even over 0 to 1, from the instance's seed. */
     final double chance;
@@ -209,7 +210,7 @@
     Volume at;
     Sort sort;
     int attempts, out;
-    long notBefore, sentAt, answerBy;
+    long deadline, notBefore, sentAt, answerBy;
     boolean done, streaming, overdue, paid;
 
     /** Where and when the first attempt went that is out or may have run; null while nothing may have run. */
@@ -646,14 +647,23 @@
     } else if (event instanceof VolumeRemoved gone) {
       leaving.add(gone.volume());
       purge(gone.volume());
-    } else if (event instanceof Stopping) {
+    } else if (event instanceof Stopping end) {
       stopping = true;
+      List.copyOf(byDeadline).forEach(p -> hasten(p, end.answerBy()));
     } else if (event instanceof TimerDue && now >= timerAt) {
       timerAt = Long.MAX_VALUE;
     }
     turn();
   }
 
+  /** Nothing waits beyond the end of the process: what would is answered by then. */
+  private void hasten(Pending p, long by) {
+    byDeadline.remove(p);
+    p.deadline = Math.min(p.deadline, by);
+    p.answerBy = Math.min(p.answerBy, by);
+    byDeadline.add(p);
+  }
+
   /** Other terms for a volume; requests that it holds stand on them too. A limit that is new to it starts
    * empty. Records (section III, equation 8) are rescaled with the weight: a volume owes the same number of
    * periods of its part as before, not the same tokens, which a smaller part might never pay. */
@@ -662,18 +672,12 @@
     leaving.remove(c.volume());
     Plan plan = c.plan();
     mostValue = Math.max(mostValue, mostWorth * plan.price());
-    Limit limit = limits.get(c.volume());
-    if (plan.limit() <= 0) {
-      limits.remove(c.volume());
-    } else if (limit != null) {
-      limit.change(plan.limit() / c.hosts(), plan.limitBurst() / c.hosts(), now);
-    } else {
-      limits.put(c.volume(), new Limit(plan.limit() / c.hosts(), plan.limitBurst() / c.hosts(), 0, now));
-    }
-    Limit reserve = reserves.get(c.volume());
-    if (reserve != null) {
-      reserve.change(plan.reserve() / c.hosts(), reserveDepth(plan, c.hosts()), now);
-    }
+    double rate = plan.limit() / c.hosts(), depth = plan.limitBurst() / c.hosts();
+    limits.compute(c.volume(), (k, limit) -> plan.limit() <= 0
+        ? null
+        : limit == null ? new Limit(rate, depth, 0, now) : limit.change(rate, depth, now));
+    reserves.computeIfPresent(c.volume(), (k, reserve) -> reserve.change(plan.reserve() / c.hosts(),
+        reserveDepth(plan, c.hosts()), now));
     for (Pending p : pendings.values()) {
       if (p.request.volume() == c.volume()) {
         p.plan = plan;
@@ -730,9 +734,7 @@
       sweep();
     }
     blocked = false;
-    if (!holders.isEmpty()) {
-      List.copyOf(holders.values()).forEach(this::release);
-    }
+    List.copyOf(holders.values()).forEach(this::release);
     arm();
   }
 
@@ -754,10 +756,7 @@
     if (!byDeadline.isEmpty()) {
       at = Math.min(at, byDeadline.first().answerBy - settings.tickUs());
     }
-    if (blocked) {
-      at = Math.min(at, now + POLL);
-    }
-    at = Math.max(at, now + 1);
+    at = Math.max(blocked ? Math.min(at, now + POLL) : at, now + 1);
     if (at < timerAt) {
       timerAt = at;
       out.accept(new SetTimer(at, at));
@@ -769,12 +768,11 @@
     for (Listed l : list.nodes()) {
       named.put(l.node(), l);
       Node n = nodes.computeIfAbsent(l.node(), k -> new Node(l));
-      boolean fresh = l.bornUs() > 0 && l.bornUs() != n.listedBorn;
-      n.listedBorn = l.bornUs();
-      n.state = l.state();
-      if (fresh) {
+      if (l.bornUs() > 0 && l.bornUs() != n.listedBorn) {
         n.restart(l.bornUs());
       }
+      n.listedBorn = l.bornUs();
+      n.state = l.state();
     }
     for (Node n : nodes.values()) {
       if (list.whole() && !named.containsKey(n.id)) {
@@ -838,8 +836,8 @@
     Node choice = null;
     double least = Double.MAX_VALUE;
     for (Node n : nodes.values()) {
-      boolean fits = p.request.shard() < 0 || n.cell == p.request.shard();
-      if (n.state == NodeState.ON && fits && p.repeatable(n, now)) {
+      if (n.state == NodeState.ON && (p.request.shard() < 0 || n.cell == p.request.shard()) && p.repeatable(n,
+          now)) {
         double burden = burden(n);
         if (burden < least) {
           least = burden;
@@ -996,7 +994,11 @@
     double wait = n.wait + Math.max(0, beyondMean(p)), late = p.aimAt + GIVE_UP * p.rules.aimUs();
     double soon = Math.max(p.aimAt - LEFT * wait, now + SURELY_LOST * wait);
     long at = (long) (p.attempts > 1 || !budget.allows() ? late : Math.min(late, soon));
-    out.accept(new Send(p.request.id(), n.id, now < p.aimAt && p.repeatable(n, at) ? at : 0));
+    // A connection may take its time to come up: what is sent again starts within the window, or not at all.
+    long startBy = p.attempts > 1 && p.rules.effect() == Effect.KEYED
+        ? p.doubtAt + p.rules.windowUs() - KEYED_MARGIN
+        : Long.MAX_VALUE;
+    out.accept(new Send(p.request.id(), n.id, now < p.aimAt && p.repeatable(n, at) ? at : 0, startBy));
   }
 
   private void outcome(Outcome o) {
@@ -1009,9 +1011,7 @@
     if (n != null) {
       n.flight.remove(p);
       n.out -= p.overdue ? 0 : 1;
-      if (o.result() == Result.OK) {
-        n.answeredSentAt = Math.max(n.answeredSentAt, p.sentAt);
-      }
+      n.answeredSentAt = Math.max(n.answeredSentAt, o.result() == Result.OK ? p.sentAt : Long.MIN_VALUE);
       judge(n, p, o);
     }
     if (!o.result().provesNotRun()) {
@@ -1051,8 +1051,7 @@
   /** A further attempt where the rules may allow one before the client gives up; else the final answer. */
   private void again(Pending p, Outcome o) {
     boolean last = p.attempts >= settings.allowed().maxAttempts() || now + RETRY_PAUSE >= p.deadline;
-    boolean never = p.doubtNode != null && p.rules.effect() == Effect.UNSAFE;
-    if (last || never || o.result() == Result.CANCELLED) {
+    if (last || p.doubtNode != null && p.rules.effect() == Effect.UNSAFE || o.result() == Result.CANCELLED) {
       end(p);
     } else {
       p.notBefore = o.result() == Result.TIMEOUT ? now : now + RETRY_PAUSE;
--- a/src/main/java/hollyslip/HostScheduler.java
+++ b/src/main/java/hollyslip/HostScheduler.java
@@ -234,14 +234,21 @@
   /** A volume takes no more requests; what is known of it may go when its last one has ended. */
   record VolumeRemoved(long volume) implements Event {}
 
-  /** The process is about to end: clients are served on the connections that they have, and make no more. */
-  record Stopping() implements Event {}
+  /** The process is about to end: clients are served on the connections that they have, and make no more; all
+   * must have its final answer by {@code answerBy}. */
+  record Stopping(long answerBy) implements Event {}
 
   /** Something to be done. */
   sealed interface Action permits Send, Refuse, Fail, Cancel, Probe, SetTimer, Watch {}
 
-  /** Starts an attempt, to be given up at {@code timeoutAt} (0: when the client gives up). */
-  record Send(long request, long node, long timeoutAt) implements Action {}
+  /** Starts an attempt, to be given up at {@code timeoutAt} (0: when the client gives up). None of it may be
+   * sent after {@code startBy}: it is {@link Result#MOOT} then. */
+  record Send(long request, long node, long timeoutAt, long startBy) implements Action {
+    /** One that may start at any time. */
+    public Send(long request, long node, long timeoutAt) {
+      this(request, node, timeoutAt, Long.MAX_VALUE);
+    }
+  }
 
   /** Final answer: not served, a new try is harmless; {@code retryInUs} 0: no advice. */
   record Refuse(long request, long retryInUs) implements Action {}
--- a/src/main/java/hollyslip/platform/Ask.java
+++ b/src/main/java/hollyslip/platform/Ask.java
@@ -21,6 +21,8 @@
  *          null: none
  * @param remainingUs
  *          how long the client waits, from the moment it sent the request
+ * @param volume
+ *          the module's number for this volume on this plan: there, a volume has one plan
  * @param shard
  *          -1: a new object
  * @param bodyLength
@@ -105,20 +107,31 @@
         throw bad("hosts");
       }
       String resent = one(h, "X-Resent");
-      return new Ask(id(h), method.name(), r.uri(), c.name(), plan(h), hex(path.substring(last + 1), "key"),
-          idempotency, remaining(needed(h, "X-Remaining"), c), hex(io.get("volume"), "volume"), units, shard,
+      int plan = plan(h);
+      return new Ask(id(h), method.name(), r.uri(), c.name(), settings.plans().get(plan).name(), hex(path
+          .substring(last + 1), "key"),
+          idempotency, remaining(needed(h, "X-Remaining"), c), account(hex(io.get("volume"), "volume"), plan),
+          units, shard,
           hosts, "1".equals(resent), c.write(), length);
     }
 
-    private String plan(HttpHeaders h) throws Refused {
-      String plan = needed(h, "X-Plan");
-      if (settings.plans().stream().noneMatch(p -> p.name().equals(plan))) {
-        throw bad("X-Plan");
+    private int plan(HttpHeaders h) throws Refused {
+      String name = needed(h, "X-Plan");
+      for (int i = 0; i < settings.plans().size(); i++) {
+        if (settings.plans().get(i).name().equals(name)) {
+          return i;
+        }
       }
-      return plan;
+      throw bad("X-Plan");
     }
   }
 
+  /** Requests of one volume that name different plans have limits and shares of their own: another number for
+   * each, the volume's own for the first plan. Volumes are drawn from all of 64 bits, so two never meet. */
+  static long account(long volume, int plan) {
+    return volume ^ plan * 0x9e3779b97f4a7c15L;
+  }
+
   /** Bytes of the body that follows a head.
    *
    * @throws Refused
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -91,10 +91,10 @@
     return servers.size();
   }
 
-  /** The process ends: what is taken from now on is answered by then, us. */
+  /** The process ends: all is answered by then, us. */
   void stopping(long at) {
     answerBy = at;
-    post(new HostScheduler.Stopping());
+    post(new HostScheduler.Stopping(at));
   }
 
   /** Takes a request whose last byte came at {@code cameAt}, us; its id must not be open. */
@@ -250,12 +250,15 @@
       return;
     }
     x.out++;
-    long giveUpAt = s.timeoutAt() > 0 ? Math.min(s.timeoutAt(), x.deadline) : x.deadline;
+    long last = Math.min(x.deadline, answerBy);
+    long giveUpAt = s.timeoutAt() > 0 ? Math.min(s.timeoutAt(), last) : last;
     long born = to.bornUs;
-    Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> to.bornUs == born && mayStart(
-        to,
-        at) && x.wanted(), (result, tookUs, headers, body) -> ended(x, attempt, to, result, tookUs, headers,
-            body));
+    Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> at <= s.startBy()
+        && to.bornUs == born && mayStart(
+            to,
+            at) && x.wanted(), (result, tookUs, headers, body) -> ended(x, attempt, to, result, tookUs,
+                headers,
+                body));
     calls.computeIfAbsent(x.number, k -> new HashMap<>()).put(attempt, c);
     if (trace != null) {
       trace.started(to.number);
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -123,7 +123,7 @@
   }
 
   private void write(DiskConnection on, Call c, long now) {
-    if (c.wanted.now(now) && now < c.giveUpAt) {
+    if (now - c.startedAt < connectUs && now < c.giveUpAt && c.wanted.now(now)) {
       on.start(c, now);
     } else {
       c.end(Result.MOOT, now);
--- a/src/test/java/hollyslip/HeldTest.java
+++ b/src/test/java/hollyslip/HeldTest.java
@@ -48,7 +48,26 @@
    * connections held a request. */
   @Test
   void whileTheProcessEndsWhatCannotGoSoonIsRefused() {
-    assertEquals(Choice.LATENCY_GUESS, answeredAfter(2_000_000, new Stopping()), 3_000);
+    assertEquals(Choice.LATENCY_GUESS, answeredAfter(2_000_000, new Stopping(START + 60_000_000)), 3_000);
+  }
+
+  /** Taken before the process was told to end, out at a node that says nothing, with a client that waits for
+   * longer than the process lives. */
+  @Test
+  void whatIsOutWhenTheProcessEndsIsAnsweredBeforeItDoes() {
+    Choice c = new Choice(Worlds.settings());
+    List<Action> all = new ArrayList<>();
+    c.handle(START, new NodeList(true, List.of(Worlds.node(1, 0, NodeState.ON, 0))), all::add);
+    c.handle(START, Worlds.request(1, "read", "free", 5L, 9, 2, 0), all::add);
+    c.handle(START, Worlds.request(2, "write", "free", 5L, 9, 2, 0), all::add);
+    assertEquals(2, all.stream().filter(a -> a instanceof Send).count());
+    long by = START + 300_000;
+    c.handle(START + 1_000, new Stopping(by), all::add);
+    for (long now = START + 1_000; now < by; now += 1_000) {
+      c.handle(now, new TimerDue(0), all::add);
+    }
+    assertTrue(all.contains(new Fail(2)), all::toString);
+    assertTrue(all.stream().anyMatch(a -> a instanceof Refuse r && r.request() == 1), all::toString);
   }
 
   @Test
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -107,6 +107,24 @@
     assertEquals(List.of(), a.breaches);
   }
 
+  /** A connection may come up after the window: the disk server would run the request twice. */
+  @Test
+  void aKeyedRequestSentAgainStartsWithinItsWindowOrNotAtAll() {
+    RuleAudit a = audit();
+    a.request(Worlds.request(1, "keyed-CELL", "free", 5L, 9, 2, -1));
+    assertEquals(Long.MAX_VALUE, lastSend(a).startBy(), "nothing has run yet");
+    a.finish(a.out.get(0), Result.RESET);
+    a.advance(START + 100_000);
+    assertEquals(2, sends(a));
+    assertEquals(START + 400_000 - Choice.KEYED_MARGIN, lastSend(a).startBy());
+    a.request(Worlds.request(2, "read", "free", null, 1, 2, 0));
+    assertEquals(Long.MAX_VALUE, lastSend(a).startBy());
+  }
+
+  private static Send lastSend(RuleAudit a) {
+    return (Send) a.actions.stream().filter(x -> x instanceof Send).reduce((x, y) -> y).orElseThrow();
+  }
+
   @Test
   void nothingNewGoesToADrainingNode() {
     RuleAudit a = audit();
--- a/src/test/java/hollyslip/platform/CrossingsTest.java
+++ b/src/test/java/hollyslip/platform/CrossingsTest.java
@@ -135,6 +135,19 @@
     }
   }
 
+  /** A client that waits for 20 s, a disk server that hangs: the process is killed 3.7 s after its
+   * SIGTERM. */
+  @Test
+  void whatIsOutAtTheEndIsAnsweredBeforeTheKill() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      client.send(Site.write("pay", "t1", null, "x"));
+      site.disk.next();
+      site.node.stop();
+      assertTrue(site.node.awaitEnd(15_000), "the client's 20 s are not waited for");
+      assertEquals(502, client.status());
+    }
+  }
+
   /** This side ends its sending first; a request that comes then is not sent on. */
   @Test
   void nothingReadAfterTheEndOfAConnectionIsSentOn() throws Exception {
