Watches are tried every quarter second while none answers; no drain's grace is used

An attempt is given up after 250 ms (the agent is on this machine and answers without delay) once what may be here has been read, the longest pause is 0.2 s, and nothing starts at a disk server that is not up (CrossingsTest: 20 drains that meet a request in one turn).

WatchClock's bounds are handed in, so that tests on a busy machine wait for their scripted discovery; its own test holds the program's. Seen once before that: whoDrainsOrIsNotInAWholeListGetsNothingNew answered an attempt that had been given up.

--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -165,9 +165,6 @@
   }
 
   private void state(DiskServer s, NodeState state, long now) {
-    if (s.state == NodeState.ON && state != NodeState.ON) {
-      s.toldAt = now;
-    }
     s.state = state;
     if (state == NodeState.GONE) {
       disks.dropIdle(s);
@@ -254,11 +251,10 @@
     long giveUpAt = s.timeoutAt() > 0 ? Math.min(s.timeoutAt(), last) : last;
     long born = to.bornUs;
     Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> at <= s.startBy()
-        && to.bornUs == born && mayStart(
-            to,
-            at) && x.wanted(), (result, tookUs, headers, body) -> ended(x, attempt, to, result, tookUs,
-                headers,
-                body));
+        && to.bornUs == born && mayStart(to) && x.wanted(), (result, tookUs, headers, body) -> ended(x,
+            attempt, to, result, tookUs,
+            headers,
+            body));
     calls.computeIfAbsent(x.number, k -> new HashMap<>()).put(attempt, c);
     if (trace != null) {
       trace.started(to.number);
@@ -266,9 +262,9 @@
     disks.start(c);
   }
 
-  /** Whether a drain's grace, if it is told to drain, has not run out. */
-  private boolean mayStart(DiskServer to, long now) {
-    return to.state == NodeState.ON || now < to.toldAt + settings.rules().drainGraceUs();
+  /** The drain's grace is not used: it may count from earlier than the news of it came. */
+  private static boolean mayStart(DiskServer to) {
+    return to.state == NodeState.ON;
   }
 
   private void ended(Exchange x, int attempt, DiskServer from, Result result, long tookUs,
--- a/src/main/java/hollyslip/platform/Discovery.java
+++ b/src/main/java/hollyslip/platform/Discovery.java
@@ -23,7 +23,7 @@
  * is replaced by a new one; the old one is read until the new one is answered. {@link WatchClock} says
  * when. */
 final class Discovery {
-  private static final long TICK_MS = 100;
+  private static final long TICK_MS = 50;
 
   /** Longest object, bytes: some thousands of disk servers. */
   private static final int MOST_OBJECT = 1 << 20;
@@ -33,7 +33,7 @@
   private final Log log;
   private final Consumer<EndpointUpdate> updates;
   private final Runnable speaks;
-  private final WatchClock times = new WatchClock();
+  private final WatchClock times;
   private InetSocketAddress address;
   /** Version last heard; -1: none, the whole list is asked for. */
   private long seq;
@@ -46,11 +46,12 @@
    * @param speaks
    *          called when a watch is answered: what is told after that version follows at once, and nothing if
    *          nothing has changed */
-  Discovery(EventLoop loop, Clock clock, Log log, InetSocketAddress address, long seq,
-      Consumer<EndpointUpdate> updates, Runnable speaks) {
+  Discovery(EventLoop loop, Clock clock, Log log, WatchClock times, InetSocketAddress address,
+      long seq, Consumer<EndpointUpdate> updates, Runnable speaks) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
+    this.times = times;
     this.address = address;
     this.seq = seq;
     this.updates = updates;
@@ -88,7 +89,14 @@
       return;
     }
     if (attempt != null && times.attemptOverdue(now)) {
-      attempt.ended("no answer");
+      // It may be here: this process may have been held up.
+      attempt.readNow();
+      if (attempt != null) {
+        attempt.ended("no answer");
+      }
+    }
+    if (attempt == null && current != null && times.opensAt(now, true)) {
+      current.readNow();
     }
     if (attempt == null && times.opensAt(now, current != null && current.to.equals(address))) {
       if (current != null && !current.reported) {
@@ -106,7 +114,7 @@
     new Bootstrap().group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (WatchClock.ANSWER_US / 1000))
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (times.answerUs() / 1000))
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel ch) {
@@ -152,6 +160,12 @@
       this.to = to;
     }
 
+    void readNow() {
+      if (channel != null) {
+        Http.readNow(channel);
+      }
+    }
+
     void close() {
       over = true;
       if (channel != null) {
--- a/src/main/java/hollyslip/platform/DiskServer.java
+++ b/src/main/java/hollyslip/platform/DiskServer.java
@@ -12,8 +12,6 @@
   final long number;
   InetSocketAddress dial;
   NodeState state = NodeState.ON;
-  /** When it was told that it takes nothing new, us; meaningless while it is on. */
-  long toldAt;
   /** Its last start, as the list has it (ms, wall's clock) and on the module's clock (us); 0: long ago. */
   long bornMs, bornUs;
   /** Connections that carry nothing, most recently used last. */
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -56,6 +56,11 @@
 
   /** Starts it; {@code environment} is read again at each reload. */
   Node(Map<String, String> environment, PrintStream out) throws IOException, InterruptedException {
+    this(environment, out, new WatchClock());
+  }
+
+  Node(Map<String, String> environment, PrintStream out, WatchClock times) throws IOException,
+      InterruptedException {
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     this.environment = environment;
     log = new Log(out);
@@ -73,7 +78,7 @@
     front = new Front(loop, clock, log, desk, new Ask.Reader(configuration.settings(), configuration
         .shards()), bounds);
     long seq = configuration.known() == null ? -1 : configuration.known().seq();
-    discovery = new Discovery(loop, clock, log, followed, seq, this::news, this::ready);
+    discovery = new Discovery(loop, clock, log, times, followed, seq, this::news, this::ready);
     loop.submit(() -> {
       if (configuration.known() != null) {
         EndpointUpdate k = configuration.known();
--- a/src/main/java/hollyslip/platform/WatchClock.java
+++ b/src/main/java/hollyslip/platform/WatchClock.java
@@ -10,14 +10,30 @@
    * was held up for a second opens a watch in vain. */
   static final long SILENT_US = 3_000_000;
 
-  /** Connecting and the answer's head: the agent is on this machine and answers without delay. */
-  static final long ANSWER_US = 500_000;
+  /** Connecting and the answer's head: the agent is on this machine and answers without delay. What it gets
+   * when discovery comes back counts as told at once, so the next attempt must not be far. */
+  static final long ANSWER_US = 250_000;
 
   /** Pauses after failed attempts: doubled from the first to the last. */
-  static final long PAUSE_US = 50_000, MOST_PAUSE_US = 400_000;
+  static final long PAUSE_US = 50_000, MOST_PAUSE_US = 200_000;
 
+  private final long silentUs, answerUs;
   private long heardAt, openedAt, nextAt = Long.MIN_VALUE, pause = PAUSE_US;
 
+  WatchClock() {
+    this(SILENT_US, ANSWER_US);
+  }
+
+  WatchClock(long silentUs, long answerUs) {
+    this.silentUs = silentUs;
+    this.answerUs = answerUs;
+  }
+
+  /** Within how long an attempt must be answered, us. */
+  long answerUs() {
+    return answerUs;
+  }
+
   /** Another discovery is asked from now on. */
   void restart() {
     pause = PAUSE_US;
@@ -29,7 +45,7 @@
 
   /** Whether the attempt that is under way has taken too long. */
   boolean attemptOverdue(long now) {
-    return now - openedAt >= ANSWER_US;
+    return now - openedAt >= answerUs;
   }
 
   /** An attempt came to nothing, or the watch that was in use has ended. */
@@ -51,6 +67,6 @@
 
   /** Whether a watch is to be opened now, none being opened already. */
   boolean opensAt(long now, boolean inUse) {
-    return now >= nextAt && (!inUse || now - heardAt >= SILENT_US);
+    return now >= nextAt && (!inUse || now - heardAt >= silentUs);
   }
 }
--- a/src/test/java/hollyslip/platform/CrossingsTest.java
+++ b/src/test/java/hollyslip/platform/CrossingsTest.java
@@ -148,6 +148,30 @@
     }
   }
 
+  /** The decision was for a disk server of which the news, in the same turn, is that it drains. */
+  @Test
+  void aRequestThatMeetsTheNewsOfADrainGoesToWhoTakesOver() throws Exception {
+    try (Site site = new Site(); Peer other = new Peer(); Site.Client client = site.client()) {
+      Peer.Came watch = site.discovery.next();
+      watch.answer(Site.WATCH);
+      for (int i = 0; i < 20; i++) {
+        String first = "s-" + i, next = "s-" + (i + 1);
+        Peer before = i % 2 == 0 ? site.disk : other, after = i % 2 == 0 ? other : site.disk;
+        try (AutoCloseable held = site.held()) {
+          client.send(Site.read("t" + i));
+          watch.answer(Site.chunk(Site.list(42 + i, false, Site.entry(first, before, 0, "draining"), Site
+              .entry(
+                  next, after, 0, "up"))));
+        }
+        Peer.Came c = after.next();
+        assertEquals("t" + i, c.header("X-Txn"));
+        c.ok("x");
+        assertEquals(200, client.status());
+        before.nothingElse();
+      }
+    }
+  }
+
   /** This side ends its sending first; a request that comes then is not sent on. */
   @Test
   void nothingReadAfterTheEndOfAConnectionIsSentOn() throws Exception {
