--- a/src/test/java/hollyslip/platform/CrossingsTest.java
+++ b/src/test/java/hollyslip/platform/CrossingsTest.java
@@ -58,9 +58,9 @@
     }
   }
 
-  /** A connection to a disk server comes up after the client has gone. */
+  /** While another request is out, so that this one would need a connection of its own. */
   @Test
-  void whoLeavesWhileAConnectionComesUpIsNotServed() throws Exception {
+  void whoAskedAndLeftBesideAnOpenRequestIsNotServed() throws Exception {
     try (Site site = new Site(); Site.Client stays = site.client(); Site.Client leaves = site.client()) {
       // One is out, so the next needs a connection of its own; its place is taken by then.
       stays.send(Site.read("first"));
