Platform logs name each request, attempt and close that went wrong, off the event loop

Change: key=value fields; request.refused/failed/abandoned/late and attempt.ended with the request's id, client.closed with what it left, server.state; 20 lines a second of each name; a thread of its own writes, drops are counted; pauses by the monotonic clock. Measured: the platform's tests pass; LogTest has a reader that never reads.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -126,7 +126,7 @@
       close();
     } else if (state == State.OPEN && partSince >= 0 && now - partSince >= Front.WHOLE_WITHIN_US) {
       if (decoder.within()) {
-        front.log().event("request.not-whole", channel.remoteAddress());
+        front.log().event("request.not-whole", "client", channel.remoteAddress());
         framingError(HttpResponseStatus.REQUEST_TIMEOUT);
       } else {
         // Nothing came: an answer might meet a first request under way, and be taken for its own.
@@ -162,7 +162,7 @@
         channel.writeAndFlush(Http.bytes("HTTP/1.1 100 Continue\r\n\r\n"));
       }
     } catch (Ask.Refused e) {
-      front.log().event("request.bad", e.getMessage(), channel.remoteAddress());
+      front.log().event("request.bad", "reason", e.getMessage(), "client", channel.remoteAddress());
       if (e.framingLost) {
         framingError(e.status);
       } else {
@@ -199,7 +199,7 @@
 
   private Item whole() {
     if (!ask.write() && body.isReadable()) {
-      front.log().event("request.bad", "body of a read", channel.remoteAddress());
+      front.log().event("request.bad", "reason", "body of a read", "client", channel.remoteAddress());
       return error(HttpResponseStatus.BAD_REQUEST);
     }
     return new Item(ask, body.isReadable() ? ByteBufUtil.getBytes(body) : NOTHING, readAt, null, closeAfter);
@@ -212,7 +212,7 @@
 
   private void queue(Item item) {
     if (waiting.size() >= MOST_WAITING) {
-      front.log().event("request.too-many-at-once", channel.remoteAddress());
+      front.log().event("request.too-many-at-once", "client", channel.remoteAddress());
       framingError(HttpResponseStatus.SERVICE_UNAVAILABLE);
       return;
     }
@@ -335,6 +335,7 @@
     if (state == State.CLOSED) {
       return;
     }
+    logClosed();
     enter(State.CLOSED);
     waiting.clear();
     dropBody();
@@ -346,6 +347,16 @@
     }
   }
 
+  /** Logs an end that leaves something unanswered, or follows bytes that were not looked at. */
+  private void logClosed() {
+    if (open != null || !waiting.isEmpty() || decoder.within() || dropped > 0) {
+      front.log()
+          .event("client.closed", "client", channel.remoteAddress(), "state", state, "open", open == null
+              ? "none"
+              : open.ask.id(), "waiting", waiting.size(), "partial", decoder.within(), "dropped", dropped);
+    }
+  }
+
   /** Sees bytes before the codec does. */
   private final class Reads extends ChannelInboundHandlerAdapter {
     @Override
@@ -398,7 +409,8 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       if (cause instanceof DecoderException) {
-        front.log().event("request.unreadable", cause.getMessage(), channel.remoteAddress());
+        front.log()
+            .event("request.unreadable", "reason", cause.getMessage(), "client", channel.remoteAddress());
         framingError(HttpResponseStatus.BAD_REQUEST);
       } else {
         channel.close();
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -101,7 +101,7 @@
   Exchange take(Ask ask, byte[] body, long cameAt, Exchange.Reply reply) {
     long way = Math.min(ON_ITS_WAY_US, ask.remainingUs() / 10);
     long deadline = Math.min(cameAt + ask.remainingUs() - way, answerBy);
-    Exchange x = new Exchange(ask, body, ++lastNumber, deadline, reply);
+    Exchange x = new Exchange(ask, body, ++lastNumber, clock.now(), deadline, reply);
     byId.put(ask.id(), x);
     byNumber.put(x.number, x);
     bytes += body.length;
@@ -113,6 +113,7 @@
   /** The client of a request left. */
   void departed(Exchange x) {
     if (!x.over()) {
+      logEnd("request.abandoned", x);
       x.left();
       List.copyOf(calls.getOrDefault(x.number, Map.of()).values()).forEach(disks::withdraw);
       post(new HostScheduler.Departed(x.number));
@@ -165,6 +166,9 @@
   }
 
   private void state(DiskServer s, NodeState state, long now) {
+    if (s.state != state) {
+      log.event("server.state", "server", s.host, "from", s.state, "to", state);
+    }
     s.state = state;
     if (state == NodeState.GONE) {
       disks.dropIdle(s);
@@ -196,7 +200,7 @@
       try {
         module.handle(clock.now(), e, this::carryOut);
       } catch (RuntimeException fault) {
-        log.event("module.fault", fault, fault.getStackTrace().length > 0 ? fault.getStackTrace()[0] : "");
+        log.fault("module.fault", fault);
         timer(clock.now() + AFTER_FAULT_US, 0);
       }
     }
@@ -208,12 +212,14 @@
     } else if (action instanceof HostScheduler.Refuse r) {
       Exchange x = byNumber.get(r.request());
       if (x != null) {
+        logEnd("request.refused", x);
         x.refuse(settings.allowed().retryAfter() ? r.retryInUs() : 0);
         forgetIfDone(x);
       }
     } else if (action instanceof HostScheduler.Fail f) {
       Exchange x = byNumber.get(f.request());
       if (x != null) {
+        logEnd("request.failed", x);
         x.fail();
         forgetIfDone(x);
       }
@@ -279,7 +285,14 @@
       trace.ended(from.number, result, tookUs);
     }
     if (result == Result.OK) {
+      if (clock.now() > x.deadline && !x.over()) {
+        logEnd("request.late", x);
+      }
       x.serve(body);
+    } else {
+      log.event("attempt.ended", "id", x.ask.id(), "attempt", attempt, "server", from.host, "result", result,
+          "took_ms",
+          tookUs / 1000);
     }
     post(new HostScheduler.Outcome(x.number, attempt, from.number, result, x.over(), tookUs, readings
         .metered(headers), readings.elsewhere(headers), readings.report(headers)));
@@ -287,6 +300,16 @@
     forgetIfGone(from);
   }
 
+  /** Logs how a request ends, before it does. */
+  private void logEnd(String name, Exchange x) {
+    if (!x.over()) {
+      long now = clock.now();
+      log.event(name, "id", x.ask.id(), "class", x.ask.className(), "waited_ms", (now - x.takenAt) / 1000,
+          "left_ms",
+          (x.deadline - now) / 1000, "attempts", x.attempts, "out", x.out);
+    }
+  }
+
   private void forgetIfDone(Exchange x) {
     if (x.over() && x.out == 0 && byNumber.remove(x.number) != null) {
       byId.remove(x.ask.id(), x);
--- a/src/main/java/hollyslip/platform/Discovery.java
+++ b/src/main/java/hollyslip/platform/Discovery.java
@@ -101,7 +101,7 @@
     if (attempt == null && times.opensAt(now, current != null && current.to.equals(address))) {
       if (current != null && !current.reported) {
         current.reported = true;
-        log.event("discovery.lost", current.to, "silent");
+        log.event("discovery.lost", "address", current.to, "reason", "silent");
       }
       open();
     }
@@ -143,7 +143,7 @@
       return;
     }
     if (n.seq() < seq) {
-      log.event("discovery.backwards", "from", seq, "to", n.seq(), "whole");
+      log.event("discovery.backwards", "from", seq, "to", n.seq(), "whole", true);
     }
     seq = n.seq();
     updates.accept(n);
@@ -185,7 +185,7 @@
         current = null;
       }
       times.failed(clock.now());
-      log.event("discovery.lost", to, why);
+      log.event("discovery.lost", "address", to, "reason", why);
     }
 
     @Override
@@ -248,7 +248,7 @@
           times.heard(clock.now());
         }
       } catch (IOException | IllegalArgumentException e) {
-        log.event("discovery.unreadable", e.getMessage());
+        log.event("discovery.unreadable", "reason", e.getMessage());
         ended("what cannot be read");
       }
       if (c instanceof LastHttpContent) {
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -205,7 +205,7 @@
 
   /** No fault of the disk server, and nothing was sent. */
   private void noDescriptor(Call c, Throwable cause) {
-    log.event("disk.no-descriptor", c.to.host, cause);
+    log.event("disk.no-descriptor", "server", c.to.host, "reason", cause);
     c.end(Result.MOOT, now());
   }
 
@@ -237,7 +237,7 @@
 
   private void waitedLong(Call c) {
     if (waiting.remove(c)) {
-      log.event("disk.no-connection-free", c.to.host, "open", open());
+      log.event("disk.no-connection-free", "server", c.to.host, "open", open());
       c.end(Result.MOOT, now());
     }
   }
@@ -283,12 +283,12 @@
   }
 
   void spoilt(DiskServer to, String why) {
-    log.event("disk.spoilt", to.host, why);
+    log.event("disk.spoilt", "server", to.host, "reason", why);
   }
 
   /** A kept connection, idle for so long, turned out to be gone as its next request was written. */
   void stale(DiskServer to, long idle) {
-    log.event("disk.stale", to.host, "idle ms", idle / 1000, "trusted ms", trust.us() / 1000);
+    log.event("disk.stale", "server", to.host, "idle_ms", idle / 1000, "trusted_ms", trust.us() / 1000);
     trust.broke(idle);
   }
 
@@ -298,7 +298,7 @@
   }
 
   void dirty(DiskServer to) {
-    log.event("disk.dirty", to.host, "bytes came that answer nothing");
+    log.event("disk.dirty", "server", to.host, "reason", "bytes that answer nothing");
   }
 
   /** Closes the connections to a disk server that carry nothing: its process or its address has changed, or
--- a/src/main/java/hollyslip/platform/Exchange.java
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -23,6 +23,8 @@
   final byte[] body;
   /** The module's name for it. */
   final long number;
+  /** When it was taken, us on the module's clock. */
+  final long takenAt;
   /** When the client gives up, us on the module's clock. */
   final long deadline;
   private final Reply reply;
@@ -30,10 +32,11 @@
   /** Answered, or its client has left. */
   private boolean over;
 
-  Exchange(Ask ask, byte[] body, long number, long deadline, Reply reply) {
+  Exchange(Ask ask, byte[] body, long number, long takenAt, long deadline, Reply reply) {
     this.ask = ask;
     this.body = body;
     this.number = number;
+    this.takenAt = takenAt;
     this.deadline = deadline;
     this.reply = reply;
   }
--- a/src/main/java/hollyslip/platform/Log.java
+++ b/src/main/java/hollyslip/platform/Log.java
@@ -3,44 +3,115 @@
 import java.io.PrintStream;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
-/** Lines on standard output, one an event: time in Unix ms, name, facts. Of each name at most one line a
- * second, which says how many it stands for: a flood must not block the event loop on a full pipe. Signals
- * come on threads of their own, so any thread may write. */
-final class Log {
-  private static final long PAUSE_MS = 1000;
+/** Structured lines on standard output, one an event: Unix time in ms, the event's name, {@code key=value}
+ * fields. A thread of its own writes them, so that a reader that stops reading never holds up the event loop;
+ * what does not fit into its queue is dropped and counted. Each name may write {@link #LINES_PER_SECOND},
+ * with bursts of {@link #BURST}; the next line of that name says how many were left out. Any thread may
+ * log. */
+final class Log implements AutoCloseable {
+  /** Sustained lines a second of one event name, and how many may come at once. */
+  static final int LINES_PER_SECOND = 20, BURST = 60;
+
+  /** Lines that wait for the writer. */
+  private static final int QUEUED = 512;
+
+  /** Longest value of a field, characters. */
+  private static final int VALUE_LENGTH = 200;
 
   private final PrintStream out;
-  private final Map<String, Line> lines = new HashMap<>();
+  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUED);
+  private final Map<String, Allowance> allowances = new HashMap<>();
+  private final AtomicLong unwritten = new AtomicLong();
+  private final Thread writer = new Thread(this::write, "log");
+  private long dropped;
 
-  /** What is known of an event's name. */
-  private static final class Line {
-    long at = Long.MIN_VALUE / 2;
-    long passedOver;
+  /** A token bucket of lines for one event name. */
+  private static final class Allowance {
+    double lines = BURST;
+    long at;
+    long leftOut;
   }
 
   Log(PrintStream out) {
     this.out = out;
+    writer.setDaemon(true);
+    writer.start();
   }
 
-  /** {@code name} is one of a fixed set; {@code facts} may hold anything. */
-  synchronized void event(String name, Object... facts) {
-    long now = System.currentTimeMillis();
-    Line line = lines.computeIfAbsent(name, k -> new Line());
-    if (now - line.at < PAUSE_MS) {
-      line.passedOver++;
+  /** Logs one event.
+   *
+   * @param name
+   *          one of a fixed set
+   * @param fields
+   *          keys and values in turn; values may hold anything */
+  synchronized void event(String name, Object... fields) {
+    Allowance allowance = allowances.computeIfAbsent(name, k -> new Allowance());
+    if (!take(allowance)) {
+      allowance.leftOut++;
       return;
     }
-    StringBuilder text = new StringBuilder().append(now).append(' ').append(name);
-    for (Object fact : facts) {
-      text.append(' ').append(plain(String.valueOf(fact)));
+    StringBuilder line = new StringBuilder().append(System.currentTimeMillis()).append(' ').append(name);
+    for (int i = 0; i + 1 < fields.length; i += 2) {
+      line.append(' ').append(fields[i]).append('=').append(value(String.valueOf(fields[i + 1])));
+    }
+    if (allowance.leftOut > 0) {
+      line.append(" left_out=").append(allowance.leftOut);
+    }
+    if (dropped > 0) {
+      line.append(" dropped=").append(dropped);
+    }
+    unwritten.incrementAndGet();
+    if (queue.offer(line.toString())) {
+      allowance.leftOut = 0;
+      dropped = 0;
+    } else {
+      unwritten.decrementAndGet();
+      dropped++;
     }
-    if (line.passedOver > 0) {
-      text.append(" (and ").append(line.passedOver).append(" more before)");
+  }
+
+  private static boolean take(Allowance allowance) {
+    long now = System.nanoTime();
+    if (allowance.at != 0) {
+      double earned = (now - allowance.at) / 1e9 * LINES_PER_SECOND;
+      allowance.lines = Math.min(BURST, allowance.lines + earned);
+    }
+    allowance.at = now;
+    if (allowance.lines < 1) {
+      return false;
     }
-    line.at = now;
-    line.passedOver = 0;
-    out.println(text);
+    allowance.lines--;
+    return true;
+  }
+
+  private void write() {
+    try {
+      while (true) {
+        out.println(queue.take());
+        unwritten.decrementAndGet();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Waits until all lines so far are written, but no longer than so many ms. */
+  void flush(long ms) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+    while (unwritten.get() > 0 && System.nanoTime() < end) {
+      Thread.sleep(1);
+    }
+  }
+
+  /** Ends the writer; lines that still wait are not written. */
+  @Override
+  public void close() {
+    writer.interrupt();
   }
 
   /** The same work, which is not ended by a fault of its own: what runs again and again on the event loop
@@ -50,15 +121,21 @@
       try {
         work.run();
       } catch (RuntimeException fault) {
-        StackTraceElement[] trace = fault.getStackTrace();
-        event("node.fault", fault, trace.length > 0 ? trace[0] : "");
+        fault("node.fault", fault);
       }
     };
   }
 
-  /** Bytes from outside must not forge lines. */
-  private static String plain(String fact) {
-    String cut = fact.length() > 200 ? fact.substring(0, 200) : fact;
-    return cut.replaceAll("[^ -~]", "?");
+  /** Logs a fault of this program with the place that it comes from. */
+  void fault(String name, RuntimeException fault) {
+    StackTraceElement[] trace = fault.getStackTrace();
+    event(name, "fault", fault, "at", trace.length > 0 ? trace[0] : "");
+  }
+
+  /** Bytes from outside must not forge lines or fields. */
+  private static String value(String text) {
+    String cut = text.length() > VALUE_LENGTH ? text.substring(0, VALUE_LENGTH) : text;
+    String plain = cut.replaceAll("[^ -~]", "?").replace('"', '\'');
+    return plain.isEmpty() || plain.indexOf(' ') >= 0 || plain.indexOf('=') >= 0 ? '"' + plain + '"' : plain;
   }
 }
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -39,6 +39,9 @@
    * the last moments is refused. */
   private static final long PARTING_US = 50_000;
 
+  /** How long an ending process waits for its last log lines to be taken, ms. */
+  private static final long LOG_FLUSH_MS = 50;
+
   private final Configuration configuration;
   private final Map<String, String> environment;
   private final Log log;
@@ -95,7 +98,7 @@
       loop.scheduleAtFixedRate(log.guarded(() -> trace.lines(module, desk.serversByNumber())), 1, 1,
           TimeUnit.SECONDS);
     }
-    log.event("node.started", configuration.name(), listening, bounds);
+    log.event("node.started", "name", configuration.name(), "listen", listening, "bounds", bounds);
   }
 
   /** Runs one scheduler until SIGTERM; gives the exit status by ending the process. With {@code --rehearse}
@@ -128,6 +131,7 @@
     started.set(node);
     List.copyOf(early).forEach(node::signal);
     node.ended.await();
+    node.log.flush(LOG_FLUSH_MS);
     System.exit(0);
   }
 
@@ -166,7 +170,7 @@
   private void ready() {
     if (!front.ready() && !stopping) {
       front.setReady();
-      log.event("node.ready", configuration.name());
+      log.event("node.ready", "name", configuration.name());
     }
   }
 
@@ -177,14 +181,14 @@
       Configuration next = Configuration.read(environment);
       loop.execute(() -> follow(next));
     } catch (IOException | RuntimeException e) {
-      log.event("configuration.refused", e.getMessage());
+      log.event("configuration.refused", "reason", e.getMessage());
     }
   }
 
   private void follow(Configuration next) {
     log.event("configuration.read", "discovery", next.discovery());
     if (!next.settings().equals(configuration.settings())) {
-      log.event("configuration.ignored", "settings change by a restart only");
+      log.event("configuration.ignored", "reason", "settings change by a restart only");
     }
     if (!next.discovery().equals(followed)) {
       followed = next.discovery();
@@ -250,6 +254,7 @@
   @Override
   public void close() {
     group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    log.close();
     ended.countDown();
   }
 
--- /dev/null
+++ b/src/test/java/hollyslip/platform/LogTest.java
@@ -0,0 +1,69 @@
+package hollyslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class LogTest {
+  private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+  private List<String> lines(Log log) throws InterruptedException {
+    log.flush(10_000);
+    return bytes.toString().lines().toList();
+  }
+
+  @Test
+  void aReaderThatStandsStillHoldsNobodyUp() {
+    CountDownLatch never = new CountDownLatch(1);
+    OutputStream full = new OutputStream() {
+      @Override
+      public void write(int b) {
+        try {
+          never.await();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      }
+    };
+    try (Log log = new Log(new PrintStream(full, true))) {
+      for (int i = 0; i < 100_000; i++) {
+        log.event("event" + i % 100, "n", i);
+      }
+    }
+  }
+
+  @Test
+  void aFloodOfOneNameIsCountedAndLeavesRoomForOthers() throws InterruptedException {
+    try (Log log = new Log(new PrintStream(bytes, true))) {
+      for (int i = 0; i < 1000; i++) {
+        log.event("flood", "n", i);
+      }
+      log.event("other", "n", 1);
+      Thread.sleep(2000 / Log.LINES_PER_SECOND);
+      log.event("flood", "n", "last");
+      List<String> lines = lines(log);
+      long floods = lines.stream().filter(l -> l.contains(" flood ")).count();
+      assertTrue(floods >= Log.BURST && floods <= Log.BURST + 10, "" + floods);
+      assertTrue(lines.stream().anyMatch(l -> l.contains(" other n=1")));
+      assertTrue(lines.get(lines.size() - 1).matches(".* flood n=last left_out=9[0-9]{2}"), lines::toString);
+    }
+  }
+
+  @Test
+  void aValueCannotForgeALineOrAField() throws InterruptedException {
+    try (Log log = new Log(new PrintStream(bytes, true))) {
+      log.event("event", "reason", "a\nb c=\"d\"", "id", 7);
+      List<String> lines = lines(log);
+      assertEquals(1, lines.size());
+      assertTrue(lines.get(0).endsWith(" event reason=\"a?b c='d'\" id=7"), lines::toString);
+    }
+  }
+}
