--- /dev/null
+++ b/src/test/java/hollyslip/platform/ProcessSite.java
@@ -0,0 +1,155 @@
+package hollyslip.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.awaitility.Awaitility;
+
+/** One scheduler as a process of its own, with the flags of the deploy file's {@code run} line, between
+ * scripted peers: shard 0 at {@code disk}, the list at {@code discovery}. */
+final class ProcessSite implements AutoCloseable {
+  /** The platform kills so long after SIGTERM: 3 s, as the longest deadline here is longer, and 0.7 s. */
+  static final long KILL_AFTER_MS = 3_700;
+
+  private static final String SETTINGS = """
+      {"az":"a","balancers":1,"myNumber":0,"tick":0.002,"classes":[
+       {"name":"get","effect":"pure","group":"all","window":5,"aim":0.4,"giveUp":2,"points":1,"lateValue":0.2},
+       {"name":"scan","effect":"pure","group":"all","window":5,"aim":10,"giveUp":20,"points":1,"lateValue":0.2},
+       {"name":"put","effect":"token","group":"cell","window":20,"aim":10,"giveUp":20,"points":1},
+       {"name":"pay","effect":"side_effect","group":"cell","window":20,"aim":10,"giveUp":20,"points":1}],
+       "policies":[{"name":"gold","nominal":1000,"guaranteed":500,"proportion":1,"price":1}],
+       "policyLimits":{"maxAttempts":3,"probes":true,"retryAfter":true,"maxRetryAfter":2,"dialTimeout":5,"idleClose":60},
+       "rules":{"graceToAnswer":0.008,"drainGrace":1,"coldFrom":0.5,"cold":1,"fallMultiple":3,"fall":1},
+       "extra":{"unitMean":2,"mostUnits":6,"nShards":3,"changesData":[false,false,true,true]},
+       "stats":{"how":"answers","names":["recent_ms"]}}""";
+
+  private static final Pattern LISTENS = Pattern.compile(".* node.started .*listen=\\S*:(\\d+).*");
+
+  final Peer disk = new Peer(), discovery = new Peer();
+  final List<String> log = new CopyOnWriteArrayList<>();
+  final Process process;
+  private final Path file = Files.createTempFile("scheduler", ".json");
+  private final InetSocketAddress listening;
+
+  ProcessSite() throws IOException {
+    this(400, Map.of());
+  }
+
+  /** With so many descriptors, and more in its environment. */
+  ProcessSite(int sockets, Map<String, String> environment) throws IOException {
+    this(sockets, environment, null);
+  }
+
+  /** With shard 0 at another address. */
+  ProcessSite(int sockets, Map<String, String> environment, String diskAddress) throws IOException {
+    String entry = Site.entry("s-0", disk, 0, "up")
+        .replace(disk.address(), diskAddress == null ? disk.address() : diskAddress);
+    Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
+        .address()
+        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
+        + sockets + "},\"known\":" + Site.list(41, true, entry) + ",\"settings\":" + SETTINGS + "}");
+    ProcessBuilder builder = new ProcessBuilder(command()).redirectErrorStream(true);
+    builder.environment().put("PROXY_CONFIG", file.toString());
+    builder.environment().putAll(environment);
+    process = builder.start();
+    Thread reader = new Thread(this::readLog, "log of the scheduler");
+    reader.setDaemon(true);
+    reader.start();
+    Awaitility.await().until(() -> log.stream().anyMatch(l -> l.contains(" node.ready ")));
+    listening = new InetSocketAddress(InetAddress.getLoopbackAddress(), port());
+  }
+
+  /** The {@code run} line, with this build's classes in place of the jar that does not exist yet. */
+  private static List<String> command() throws IOException {
+    String run = Files.readAllLines(Path.of("deploy/balancer.toml"))
+        .stream()
+        .filter(l -> l.startsWith("run = "))
+        .findFirst()
+        .orElseThrow()
+        .replaceAll("^run = \"exec java |\"$", "");
+    List<String> command = new ArrayList<>();
+    command.add(ProcessHandle.current().info().command().orElseThrow());
+    for (String word : run.split(" ")) {
+      if (word.equals("-jar")) {
+        command.add("-cp");
+      } else if (word.endsWith(".jar")) {
+        command.add(System.getProperty("java.class.path"));
+        command.add("hollyslip.cli.Main");
+      } else if (!word.startsWith("-XX:SharedArchiveFile")) {
+        command.add(word);
+      }
+    }
+    return command;
+  }
+
+  private void readLog() {
+    try (var lines = process.inputReader().lines()) {
+      lines.forEach(log::add);
+    } catch (UncheckedIOException ended) {
+      // The process was killed.
+    }
+  }
+
+  private int port() {
+    return log.stream()
+        .map(LISTENS::matcher)
+        .filter(Matcher::matches)
+        .map(m -> Integer.parseInt(m.group(1)))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  Site.Client client() throws IOException {
+    return new Site.Client(listening);
+  }
+
+  /** A connection whose answers are read by hand. */
+  Socket connect() throws IOException {
+    return new Socket(listening.getAddress(), listening.getPort());
+  }
+
+  /** Sends a signal by name, as {@code kill} knows it. */
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
+  }
+
+  /** Answers each request at the disk server with its own id, from now on. */
+  void echo() {
+    Thread thread = new Thread(() -> {
+      try {
+        while (true) {
+          Peer.Came c = disk.next();
+          c.ok(c.header("X-Txn"));
+        }
+      } catch (IOException | InterruptedException | AssertionError over) {
+        // The test has ended.
+      }
+    }, "disk server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  @Override
+  public void close() throws IOException {
+    process.destroyForcibly();
+    try {
+      process.waitFor(20, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    disk.close();
+    discovery.close();
+    Files.delete(file);
+  }
+}
