A client's connection that rests is closed without reading on; its life is one state

Callers: a request that crossed the end of a resting connection got no answer and no reset, so its client could not know that it had to send it again (lost: read, then closed). Cause: ClientConnection.shut ended this side's sending and read on for 0.3 s, dropping whole requests; only an error whose framing is lost justifies that. Change: OPEN, ENDING (the last answer is announced, what still comes is refused), BROKEN, DRAINING, CLOSED; what rests is read once more and closed, so that the system resets what crosses; after an announced end requests get 503 for 60 ms. RequestAssembler and Incoming hold what is read.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -1,7 +1,6 @@
 package hollyslip.platform;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,20 +8,20 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
-import java.util.Locale;
-
-/** One client's connection: requests in, one after the other, and their answers out. It is always read, so
- * that a client's leaving is seen; what comes beyond a bound is dropped. It ends by ending this side's
- * sending, reading out what still comes, and only then closing: a close over unread bytes would reset the
- * connection and take the last answer along. */
+import java.util.concurrent.TimeUnit;
+
+/** One client's connection: requests in, one after the other, and their answers out, in order. Every request
+ * that was read whole gets its answer before the connection ends, so nothing is read once no answer can go
+ * out any more: a connection at rest is closed as it is, which resets it if a request crosses the close, and
+ * tells its client to send that request again.
+ *
+ * <p>
+ * After an error that hides where the next request starts there are no requests any more: this side ends its
+ * sending, drops what comes and closes, so that the client sees the error and not a reset. */
 final class ClientConnection {
   /** Bytes that are read and dropped before the connection is closed: a client that goes on at full speed
    * after an error would take the event loop's time. Harm: it may see a reset in place of the error. */
@@ -30,42 +29,51 @@
 
   /** Requests that may wait behind an open one: an ordinary client sends none. */
   private static final int MOST_WAITING = 8;
+
+  /** Reads in a row when a client's connection is looked at again: a request and the end that follows it take
+   * two. */
+  private static final int READS_IN_A_ROW = 16;
+
   private static final byte[] NOTHING = {};
 
-  /** What becomes of bytes that come: they are parsed; they are dropped, while answers may still go out; they
-   * are dropped, and this side has ended its sending; there are none any more. */
+  /** {@code OPEN}: requests are read and served. {@code ENDING}: the last answer is announced; requests that
+   * still come are refused. {@code BROKEN}: where the next request starts is unknown; what comes is dropped,
+   * answers still go out. {@code DRAINING}: this side has ended its sending, what comes is dropped.
+   * {@code CLOSED}: there is no connection any more. */
   private enum State {
-    OPEN, DISCARDING, SHUT, CLOSED
+    OPEN, ENDING, BROKEN, DRAINING, CLOSED;
+
+    boolean reads() {
+      return this == OPEN || this == ENDING;
+    }
+
+    boolean answers() {
+      return this == OPEN || this == ENDING || this == BROKEN;
+    }
   }
 
   private final Front front;
   private final Channel channel;
   private final RequestDecoder decoder = new RequestDecoder();
-  private final ArrayDeque<Item> waiting = new ArrayDeque<>();
+  private final RequestAssembler assembler;
+  private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
   private State state = State.OPEN;
-  private long stateSince;
-  /** What is being read: its head, or the answer that its head earned; and its body so far. */
-  private Ask ask;
-  private Item instead;
-  private ByteBuf body = Unpooled.EMPTY_BUFFER;
-  private boolean closeAfter;
-
   private Exchange open;
   private long readAt, idleSince, writingSince = -1;
-  /** Since when part of a request has been here, or one is waited for that should have come first; -1: no. */
+  /** Since when part of a request has been here, or the first one is waited for; -1: neither. */
   private long partSince;
-  private boolean asked, reading;
+  /** Bytes ever read; bytes that were dropped of them. */
+  private long bytesRead;
   private int dropped;
-
-  /** Something to be answered in its turn: a request, or an error ({@code status}). */
-  private record Item(Ask ask, byte[] body, long cameAt, HttpResponseStatus status, boolean close) {}
+  private boolean reading;
+  private String closeReason = "client closed";
 
   ClientConnection(Front front, Channel channel) {
     this.front = front;
     this.channel = channel;
+    assembler = new RequestAssembler(front, channel);
     partSince = front.now();
     idleSince = partSince;
-    stateSince = partSince;
   }
 
   void open() {
@@ -75,144 +83,89 @@
   /** Since when nothing is open or under way here, us; -1: something is. A request of which a part has come
    * is: a slow one must not lose its connection to others' need of places. */
   long idleSince() {
-    return quiet() ? idleSince : -1;
+    return resting() ? idleSince : -1;
   }
 
   /** Whether no request was ever begun on it. */
   boolean stranger() {
-    return !asked;
+    return bytesRead == 0;
   }
 
   /** Whether nothing is open, waits or is being read or written. */
-  private boolean quiet() {
-    return state == State.OPEN && open == null && waiting.isEmpty() && writingSince < 0 && !decoder.within();
+  private boolean resting() {
+    return state.reads() && open == null && waiting.isEmpty() && writingSince < 0 && !decoder.within();
   }
 
-  /** Ends it if it is quiet once all that has come was read. */
-  void endIfQuiet() {
-    if (quiet()) {
+  /** Closes it if it rests once all that has come was read. A request that comes after that is not read, and
+   * its client told so by a reset. */
+  void closeIfResting(String reason) {
+    if (resting()) {
       readNow();
-      if (quiet()) {
-        shut();
+      if (resting()) {
+        close(reason);
       }
     }
   }
 
-  /** Whether this side has ended its sending and only the client's end is waited for. */
-  boolean isShut() {
-    return state == State.SHUT;
+  /** Closes it if only the client's end is waited for; what has come is dropped before, as a close over
+   * unread bytes is a reset, which might take the error along. */
+  void closeIfDraining() {
+    if (state == State.DRAINING) {
+      readNow();
+      close("drained");
+    }
   }
 
-  /** Closes it at once; what has come is read before, as a close over unread bytes is a reset. */
-  void close() {
-    readNow();
+  private void close(String reason) {
+    if (state != State.CLOSED) {
+      closeReason = reason;
+    }
     channel.close();
   }
 
+  /** Reads all that has come, its end included. */
   private void readNow() {
-    if (!reading && state != State.CLOSED) {
+    if (reading || state == State.CLOSED) {
+      return;
+    }
+    long before = -1;
+    for (int i = 0; i < READS_IN_A_ROW && bytesRead != before && channel.isActive(); i++) {
+      before = bytesRead;
       Http.readNow(channel);
-      if (!channel.isActive()) {
-        // The handlers would hear of it only in the loop's next task.
-        closed();
-      }
+    }
+    if (!channel.isActive()) {
+      // The handlers would hear of it only in the loop's next task.
+      closed();
     }
   }
 
   /** Ends what takes too long. */
   void sweep(long now) {
-    if (state == State.SHUT && now - stateSince >= Front.LINGER_US || writingSince >= 0 && now
-        - writingSince >= Front.TAKEN_WITHIN_US) {
-      close();
-    } else if (state == State.OPEN && partSince >= 0 && now - partSince >= Front.WHOLE_WITHIN_US) {
-      if (decoder.within()) {
-        front.log().event("request.not-whole", "client", channel.remoteAddress());
-        framingError(HttpResponseStatus.REQUEST_TIMEOUT);
-      } else {
-        // Nothing came: an answer might meet a first request under way, and be taken for its own.
-        endIfQuiet();
-      }
-    }
-  }
-
-  private void head(HttpRequest r) {
-    closeAfter = r.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
-    dropBody();
-    ask = null;
-    instead = null;
-    if (r.decoderResult().isFailure()) {
-      framingError(HttpResponseStatus.BAD_REQUEST);
-      return;
-    }
-    if (r.method().equals(HttpMethod.GET) && r.uri().equals("/ready")) {
-      instead = error(front.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
-      return;
-    }
-    try {
-      ask = front.reader().read(r);
-      if (ask.bodyLength() != 0) {
-        // Grows with what comes: a length that is only said must not take memory.
-        body = Unpooled.buffer(1024, Bounds.BODY);
-      }
-      if (!front.desk().hasRoom(Math.max(0, ask.bodyLength()))) {
-        ask = null;
-        instead = error(HttpResponseStatus.SERVICE_UNAVAILABLE);
-      } else if (ask.bodyLength() != 0 && r.headers()
-          .containsValue(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true) && quiet()) {
-        channel.writeAndFlush(Http.bytes("HTTP/1.1 100 Continue\r\n\r\n"));
-      }
-    } catch (Ask.Refused e) {
-      front.log().event("request.bad", "reason", e.getMessage(), "client", channel.remoteAddress());
-      if (e.framingLost) {
-        framingError(e.status);
-      } else {
-        instead = error(e.status);
-      }
+    if (writingSince >= 0 && now - writingSince >= Front.TAKEN_WITHIN_US) {
+      close("answer not taken");
+    } else if (state.reads() && partSince >= 0 && now - partSince >= Front.WHOLE_WITHIN_US) {
+      endPart();
     }
   }
 
-  private Item error(HttpResponseStatus status) {
-    return new Item(null, null, 0, status, closeAfter);
-  }
-
-  private void content(HttpContent c) {
-    if (c.decoderResult().isFailure()) {
-      framingError(HttpResponseStatus.BAD_REQUEST);
+  /** Waits no longer for the rest of a request, or for a first one. */
+  void endPart() {
+    if (!state.reads()) {
       return;
     }
-    int more = c.content().readableBytes();
-    if (ask != null && more > 0) {
-      if (body.readableBytes() + more > Bounds.BODY) {
-        framingError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        return;
-      }
-      body.writeBytes(c.content());
-    }
-    if (c instanceof LastHttpContent) {
-      partSince = -1;
-      queue(instead != null ? instead : whole());
-      ask = null;
-      instead = null;
-      dropBody();
+    if (decoder.within()) {
+      front.log().event("request.not-whole", "client", channel.remoteAddress());
+      framingError(HttpResponseStatus.REQUEST_TIMEOUT);
+    } else {
+      // An answer might meet a first request under way, and be taken for its own.
+      closeIfResting("nothing asked");
     }
   }
 
-  private Item whole() {
-    if (!ask.write() && body.isReadable()) {
-      front.log().event("request.bad", "reason", "body of a read", "client", channel.remoteAddress());
-      return error(HttpResponseStatus.BAD_REQUEST);
-    }
-    return new Item(ask, body.isReadable() ? ByteBufUtil.getBytes(body) : NOTHING, readAt, null, closeAfter);
-  }
-
-  private void dropBody() {
-    body.release();
-    body = Unpooled.EMPTY_BUFFER;
-  }
-
-  private void queue(Item item) {
-    if (waiting.size() >= MOST_WAITING) {
-      front.log().event("request.too-many-at-once", "client", channel.remoteAddress());
+  /** Queues a request or an error for its answer, in its turn. */
+  private void queue(Incoming item) {
+    if (item.isRequest() && waiting.size() >= MOST_WAITING) {
+      front.log().event("request.too-many-at-once", "id", item.ask().id(), "client", channel.remoteAddress());
       framingError(HttpResponseStatus.SERVICE_UNAVAILABLE);
       return;
     }
@@ -222,33 +175,26 @@
 
   /** What follows cannot be told apart, or is not wanted: an error in its turn, then the end. */
   private void framingError(HttpResponseStatus status) {
-    if (state == State.OPEN) {
-      enter(State.DISCARDING);
+    if (state.reads()) {
+      state = State.BROKEN;
       partSince = -1;
-      dropBody();
-      waiting.add(new Item(null, null, 0, status, true));
-      next();
+      assembler.reset();
+      queue(Incoming.error(status, front.now() + Front.ERROR_WITHIN_US, true));
     }
   }
 
-  private void enter(State next) {
-    state = next;
-    stateSince = front.now();
-  }
-
   /** Goes on to the next in turn, if nothing is open. */
   private void next() {
-    while (open == null && writingSince < 0 && (state == State.OPEN || state == State.DISCARDING) && !waiting
-        .isEmpty()) {
-      Item item = waiting.poll();
-      if (item.status != null) {
-        answer(item.status, NOTHING, 0, item.close);
-      } else if (front.parting()) {
-        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NOTHING, 0, item.close);
-      } else if (front.desk().isOpen(item.ask.id())) {
-        answer(HttpResponseStatus.CONFLICT, NOTHING, 0, item.close);
+    while (open == null && writingSince < 0 && state.answers() && !waiting.isEmpty()) {
+      Incoming item = waiting.poll();
+      if (!item.isRequest()) {
+        answer(item.error(), NOTHING, 0, item.close());
+      } else if (front.parting() || state == State.ENDING) {
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NOTHING, 0, item.close());
+      } else if (front.desk().isOpen(item.ask().id())) {
+        answer(HttpResponseStatus.CONFLICT, NOTHING, 0, item.close());
       } else {
-        open = front.desk().take(item.ask, item.body, item.cameAt, new Reply(item.close));
+        open = front.desk().take(item.ask(), item.body(), item.cameAt(), new Reply(item.close()));
       }
     }
   }
@@ -286,48 +232,52 @@
     }
   }
 
+  /** Writes one answer.
+   *
+   * @param close
+   *          its client asked for the end of the connection after it */
   private void answer(HttpResponseStatus status, byte[] text, long retryInUs, boolean close) {
-    // Whatever was read is answered before the connection ends.
-    boolean last = close || front.parting() && waiting.isEmpty();
-    StringBuilder head = new StringBuilder(96).append("HTTP/1.1 ")
-        .append(status.code())
-        .append(' ')
-        .append(status.reasonPhrase())
-        .append("\r\nContent-Length: ")
-        .append(text.length)
-        .append("\r\n");
-    if (retryInUs > 0) {
-      head.append("Retry-After: ")
-          .append(String.format(Locale.ROOT, "%.3f", Math.max(0.001, retryInUs / 1e6)))
-          .append("\r\n");
-    }
-    if (last) {
-      head.append("Connection: close\r\n");
+    if (state == State.OPEN && (close || front.parting())) {
+      state = State.ENDING;
     }
-    ByteBuf bytes = Http.bytes(head.append("\r\n").toString());
+    // Whatever was read is answered before the connection ends.
+    boolean last = state != State.OPEN && waiting.isEmpty();
+    ByteBuf head = Http.answerHead(status, text.length, retryInUs, last);
     writingSince = front.now();
     channel.writeAndFlush(text.length == 0
-        ? bytes
-        : Unpooled.wrappedBuffer(bytes, Unpooled.wrappedBuffer(text))).addListener(f -> {
+        ? head
+        : Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(text))).addListener(f -> {
           writingSince = -1;
           idleSince = front.now();
           if (!f.isSuccess()) {
-            channel.close();
-          } else if (last) {
-            shut();
+            close("answer not written");
           } else {
-            next();
+            answered(close);
           }
         });
   }
 
-  /** Ends this side's sending; the rest goes once the client's side has ended too, or soon. Nothing that is
-   * read from now on is looked at: the client sends it again elsewhere. */
-  private void shut() {
-    enter(State.SHUT);
-    partSince = -1;
-    waiting.clear();
+  /** An answer was given to the system. */
+  private void answered(boolean close) {
+    if (!waiting.isEmpty()) {
+      next();
+    } else if (state == State.BROKEN) {
+      drain();
+    } else if (state == State.ENDING && close) {
+      closeIfResting("as the client asked");
+    } else if (state == State.ENDING) {
+      // The client is told to close; a request of its that crosses this answer is refused until then.
+      channel.eventLoop()
+          .schedule(() -> closeIfResting("told to close"), Front.TOLD_TO_CLOSE_US, TimeUnit.MICROSECONDS);
+    }
+  }
+
+  /** Ends this side's sending; the rest goes once the client's side has ended too, or soon. */
+  private void drain() {
+    state = State.DRAINING;
     ((SocketChannel) channel).shutdownOutput();
+    long linger = front.parting() ? Front.TOLD_TO_CLOSE_US : Front.LINGER_US;
+    channel.eventLoop().schedule(this::closeIfDraining, linger, TimeUnit.MICROSECONDS);
   }
 
   /** The connection is gone, and with it whoever waits for what is open. */
@@ -336,9 +286,9 @@
       return;
     }
     logClosed();
-    enter(State.CLOSED);
+    state = State.CLOSED;
     waiting.clear();
-    dropBody();
+    assembler.reset();
     front.closed(this);
     if (open != null) {
       Exchange x = open;
@@ -351,9 +301,9 @@
   private void logClosed() {
     if (open != null || !waiting.isEmpty() || decoder.within() || dropped > 0) {
       front.log()
-          .event("client.closed", "client", channel.remoteAddress(), "state", state, "open", open == null
-              ? "none"
-              : open.ask.id(), "waiting", waiting.size(), "partial", decoder.within(), "dropped", dropped);
+          .event("client.closed", "client", channel.remoteAddress(), "reason", closeReason, "state", state,
+              "open", open == null ? "none" : open.ask.id(), "waiting", waiting.size(), "partial", decoder
+                  .within(), "dropped", dropped);
     }
   }
 
@@ -361,15 +311,12 @@
   private final class Reads extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      if (state != State.OPEN) {
-        dropped += ((ByteBuf) message).readableBytes();
-        ReferenceCountUtil.release(message);
-        if (dropped > MOST_DROPPED) {
-          channel.close();
-        }
+      int count = ((ByteBuf) message).readableBytes();
+      bytesRead += count;
+      if (!state.reads()) {
+        drop(message, count);
         return;
       }
-      asked = true;
       readAt = front.now();
       if (partSince < 0) {
         partSince = readAt;
@@ -384,18 +331,32 @@
         partSince = -1;
       }
     }
+
+    private void drop(Object message, int count) {
+      dropped += count;
+      ReferenceCountUtil.release(message);
+      if (dropped > MOST_DROPPED) {
+        close("too much after an error");
+      }
+    }
   }
 
   private final class Requests extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       try {
-        if (state == State.OPEN && message instanceof HttpRequest r) {
-          head(r);
+        if (state.reads() && message instanceof HttpRequest r) {
+          assembler.head(r, open == null && waiting.isEmpty() && writingSince < 0);
         }
-        if (state == State.OPEN && message instanceof HttpContent c) {
-          content(c);
+        if (state.reads() && message instanceof HttpContent c) {
+          Incoming whole = assembler.content(c, readAt);
+          if (whole != null) {
+            partSince = -1;
+            queue(whole);
+          }
         }
+      } catch (RequestAssembler.FramingLost e) {
+        framingError(e.status);
       } finally {
         ReferenceCountUtil.release(message);
       }
@@ -413,7 +374,7 @@
             .event("request.unreadable", "reason", cause.getMessage(), "client", channel.remoteAddress());
         framingError(HttpResponseStatus.BAD_REQUEST);
       } else {
-        channel.close();
+        close(String.valueOf(cause.getMessage()));
       }
     }
   }
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -99,17 +99,21 @@
 
   /** Takes a request whose last byte came at {@code cameAt}, us; its id must not be open. */
   Exchange take(Ask ask, byte[] body, long cameAt, Exchange.Reply reply) {
-    long way = Math.min(ON_ITS_WAY_US, ask.remainingUs() / 10);
-    long deadline = Math.min(cameAt + ask.remainingUs() - way, answerBy);
+    long deadline = Math.min(deadline(ask, cameAt), answerBy);
     Exchange x = new Exchange(ask, body, ++lastNumber, clock.now(), deadline, reply);
     byId.put(ask.id(), x);
     byNumber.put(x.number, x);
     bytes += body.length;
     post(new HostScheduler.Request(x.number, ask.className(), ask.plan(), ask.key(), ask.volume(), ask
-        .units(), ask.shard(), ask.hosts(), x.deadline - clock.now(), ask.again()));
+        .units(), ask.shard(), ask.hosts(), x.deadline() - clock.now(), ask.again()));
     return x;
   }
 
+  /** When the answer to a request that came at {@code cameAt} has to be on its way, us. */
+  long deadline(Ask ask, long cameAt) {
+    return cameAt + ask.remainingUs() - Math.min(ON_ITS_WAY_US, ask.remainingUs() / 10);
+  }
+
   /** The client of a request left. */
   void departed(Exchange x) {
     if (!x.over()) {
@@ -253,7 +257,7 @@
       return;
     }
     x.out++;
-    long last = Math.min(x.deadline, answerBy);
+    long last = Math.min(x.deadline(), answerBy);
     long giveUpAt = s.timeoutAt() > 0 ? Math.min(s.timeoutAt(), last) : last;
     long born = to.bornUs;
     Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> at <= s.startBy()
@@ -285,7 +289,7 @@
       trace.ended(from.number, result, tookUs);
     }
     if (result == Result.OK) {
-      if (clock.now() > x.deadline && !x.over()) {
+      if (clock.now() > x.deadline() && !x.over()) {
         logEnd("request.late", x);
       }
       x.serve(body);
@@ -306,7 +310,7 @@
       long now = clock.now();
       log.event(name, "id", x.ask.id(), "class", x.ask.className(), "waited_ms", (now - x.takenAt) / 1000,
           "left_ms",
-          (x.deadline - now) / 1000, "attempts", x.attempts, "out", x.out);
+          (x.deadline() - now) / 1000, "attempts", x.attempts, "out", x.out);
     }
   }
 
--- a/src/main/java/hollyslip/platform/Exchange.java
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -25,8 +25,7 @@
   final long number;
   /** When it was taken, us on the module's clock. */
   final long takenAt;
-  /** When the client gives up, us on the module's clock. */
-  final long deadline;
+  private long deadline;
   private final Reply reply;
   int attempts, out;
   /** Answered, or its client has left. */
@@ -41,6 +40,17 @@
     this.reply = reply;
   }
 
+  /** When its client gives up, or a request behind it on its connection has to be answered, us on the
+   * module's clock. */
+  long deadline() {
+    return deadline;
+  }
+
+  /** It has to be answered by then. */
+  void hasten(long by) {
+    deadline = Math.min(deadline, by);
+  }
+
   boolean over() {
     return over;
   }
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -27,6 +27,12 @@
   /** An answer that its client does not take for so long ends its connection, us. */
   static final long TAKEN_WITHIN_US = 5_000_000;
 
+  /** An error is owed so soon, us, though an earlier request is open. */
+  static final long ERROR_WITHIN_US = 300_000;
+
+  /** A client that was told to close its connection may still send on it for so long, us. */
+  static final long TOLD_TO_CLOSE_US = 60_000;
+
   /** How long what a client still sends after an error is read and dropped, us: so that it sees the error and
    * not a reset. */
   static final long LINGER_US = 300_000;
@@ -113,11 +119,12 @@
     ready = true;
   }
 
-  /** Ends connections that carry nothing, and the others with the answer to what was read on them. Those that
-   * still come are answered too: what the system has accepted counts as taken. */
+  /** Ends connections that carry nothing, and the others with the answer to what was read on them; a request
+   * of which a part has come has a moment left. Those that still come are answered too: what the system has
+   * accepted counts as taken. */
   void part() {
     parting = true;
-    List.copyOf(all).forEach(ClientConnection::endIfQuiet);
+    List.copyOf(all).forEach(c -> c.closeIfResting("the process ends"));
     resume();
   }
 
@@ -167,11 +174,11 @@
               .thenComparingLong(ClientConnection::idleSince))
           .limit(excess)
           .toList()
-          .forEach(ClientConnection::endIfQuiet);
+          .forEach(c -> c.closeIfResting("room for others"));
     }
     if (all.size() >= most) {
       // Their ends were told; what they still send is not looked at.
-      all.stream().filter(ClientConnection::isShut).toList().forEach(ClientConnection::close);
+      List.copyOf(all).forEach(ClientConnection::closeIfDraining);
     }
     if (all.size() >= most && !full) {
       full = true;
--- a/src/main/java/hollyslip/platform/Http.java
+++ b/src/main/java/hollyslip/platform/Http.java
@@ -5,8 +5,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** What all sides of the protocol share. */
 final class Http {
@@ -39,6 +41,31 @@
     return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  /** The head of an answer to a client.
+   *
+   * @param retryInUs
+   *          0: no advice
+   * @param last
+   *          the connection ends after it */
+  static ByteBuf answerHead(HttpResponseStatus status, int length, long retryInUs, boolean last) {
+    StringBuilder head = new StringBuilder(96).append("HTTP/1.1 ")
+        .append(status.code())
+        .append(' ')
+        .append(status.reasonPhrase())
+        .append("\r\nContent-Length: ")
+        .append(length)
+        .append("\r\n");
+    if (retryInUs > 0) {
+      head.append("Retry-After: ")
+          .append(String.format(Locale.ROOT, "%.3f", Math.max(0.001, retryInUs / 1e6)))
+          .append("\r\n");
+    }
+    if (last) {
+      head.append("Connection: close\r\n");
+    }
+    return bytes(head.append("\r\n").toString());
+  }
+
   /** For the header Host. */
   static String authority(InetSocketAddress a) {
     return a.getAddress().getHostAddress() + ":" + a.getPort();
