Requests beyond those that may wait on a connection are refused in turn, not dropped

Callers: of 200 requests written at once 10 got an answer, then the connection ended: 190 were read and never answered (lost). Cause: ClientConnection.queue took the ninth request that waited for an error of framing. Change: 32 may wait, within the bound on bytes, which now counts them; further ones are answered with 503 in their turn; reading stops at 4,096 owed answers.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -27,8 +27,14 @@
    * after an error would take the event loop's time. Harm: it may see a reset in place of the error. */
   private static final int MOST_DROPPED = 1 << 20;
 
-  /** Requests that may wait behind an open one: an ordinary client sends none. */
-  private static final int MOST_WAITING = 8;
+  /** Requests that may wait behind an open one to be served; more are refused in their turn. */
+  private static final int MOST_WAITING = 32;
+
+  /** Answers that may be owed before reading stops, and at which it goes on. */
+  private static final int MOST_OWED = 4096, FEW_OWED = 1024;
+
+  /** What a request that waits takes beside its body, bytes. */
+  private static final int HEAD_BYTES = 1024;
 
   /** Reads in a row when a client's connection is looked at again: a request and the end that follows it take
    * two. */
@@ -164,13 +170,38 @@
 
   /** Queues a request or an error for its answer, in its turn. */
   private void queue(Incoming item) {
-    if (item.isRequest() && waiting.size() >= MOST_WAITING) {
+    Incoming queued = item;
+    if (item.isRequest() && !mayWait(item)) {
       front.log().event("request.too-many-at-once", "id", item.ask().id(), "client", channel.remoteAddress());
-      framingError(HttpResponseStatus.SERVICE_UNAVAILABLE);
-      return;
+      queued = item.refused(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
-    waiting.add(item);
+    waiting.add(queued);
     next();
+    if (waiting.size() >= MOST_OWED) {
+      channel.config().setAutoRead(false);
+    }
+  }
+
+  /** Whether there is room for a request to wait until it is served; takes it. */
+  private boolean mayWait(Incoming item) {
+    return waiting.size() < MOST_WAITING && front.desk().hold(HEAD_BYTES + item.body().length);
+  }
+
+  private Incoming nextWaiting() {
+    Incoming item = waiting.poll();
+    if (item.isRequest()) {
+      front.desk().letGo(HEAD_BYTES + item.body().length);
+    }
+    if (waiting.size() == FEW_OWED && state.answers()) {
+      channel.config().setAutoRead(true);
+    }
+    return item;
+  }
+
+  private void dropWaiting() {
+    while (!waiting.isEmpty()) {
+      nextWaiting();
+    }
   }
 
   /** What follows cannot be told apart, or is not wanted: an error in its turn, then the end. */
@@ -186,7 +217,7 @@
   /** Goes on to the next in turn, if nothing is open. */
   private void next() {
     while (open == null && writingSince < 0 && state.answers() && !waiting.isEmpty()) {
-      Incoming item = waiting.poll();
+      Incoming item = nextWaiting();
       if (!item.isRequest()) {
         answer(item.error(), NOTHING, 0, item.close());
       } else if (front.parting() || state == State.ENDING) {
@@ -287,7 +318,7 @@
     }
     logClosed();
     state = State.CLOSED;
-    waiting.clear();
+    dropWaiting();
     assembler.reset();
     front.closed(this);
     if (open != null) {
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -73,6 +73,20 @@
     return bytes + length <= mostBytes;
   }
 
+  /** Takes room for so many bytes of a request that waits, if there is any. */
+  boolean hold(int length) {
+    if (!hasRoom(length)) {
+      return false;
+    }
+    bytes += length;
+    return true;
+  }
+
+  /** Gives room back that {@link #hold} took. */
+  void letGo(int length) {
+    bytes -= length;
+  }
+
   /** Open requests that await their answer or the end of an attempt. */
   int open() {
     return byNumber.size();
--- a/src/test/java/hollyslip/platform/Peer.java
+++ b/src/test/java/hollyslip/platform/Peer.java
@@ -120,6 +120,27 @@
     return c;
   }
 
+  /** Answers each request with its own id, from now on. */
+  void echo() {
+    daemon(() -> {
+      try {
+        while (true) {
+          echo(came.take());
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+  }
+
+  private static void echo(Came c) {
+    try {
+      c.ok(c.header("X-Txn"));
+    } catch (IOException gone) {
+      // The scheduler gave this attempt up.
+    }
+  }
+
   /** Nothing has come that was not taken. */
   void nothingElse() {
     assertNull(came.peek());
--- a/src/test/java/hollyslip/platform/Site.java
+++ b/src/test/java/hollyslip/platform/Site.java
@@ -90,6 +90,11 @@
     return release::countDown;
   }
 
+  /** Answers each request at the disk server with its own id, from now on. */
+  void echo() {
+    disk.echo();
+  }
+
   Client client() throws IOException {
     return new Client(node.listening());
   }
