--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -85,7 +85,7 @@
   /** All, and those that hold requests: what an event costs must not grow with the fleet. */
   final Map<Long, Node> nodes = new TreeMap<>(), holders = new TreeMap<>();
   private final Map<Long, Pending> pendings = new LinkedHashMap<>();
-  private final Map<Long, Limit> limits = new HashMap<>(), reserves = new HashMap<>();
+  private final Map<Long, TokenBucket> limits = new HashMap<>(), reserves = new HashMap<>();
   private final Map<Long, KeyLine> lines = new HashMap<>();
   /** Volumes that stand on plans of their own, and those that go with their last request. */
   private final Map<Long, VolumeChanged> terms = new HashMap<>();
@@ -94,7 +94,7 @@
   private final TreeSet<Pending> byDeadline = new TreeSet<>(Comparator.<Pending>comparingLong(
       p -> p.answerBy).thenComparingLong(p -> p.seq));
   private final SplittableRandom random;
-  private final Budget budget;
+  private final AttemptBudget budget;
   private final double shortestAim, mostWorth;
   private Consumer<Action> out;
   private double mostValue;
@@ -110,7 +110,7 @@
     settings.classes().forEach(c -> classes.put(c.name(), c));
     settings.plans().forEach(p -> plans.put(p.name(), p));
     random = new SplittableRandom(settings.seed());
-    budget = new Budget(settings.rules());
+    budget = new AttemptBudget(settings.rules());
     mostWorth = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElseThrow();
     mostValue = mostWorth * settings.plans().stream().mapToDouble(Plan::price).max().orElseThrow();
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
@@ -122,69 +122,6 @@
     long quietUntil = Long.MIN_VALUE;
   }
 
-  /** Rule 7: attempts beyond the first against requests taken: in any span at most what is free and the share
-   * of what was taken in it, so that sums over hosts or lanes keep it too, which windows of each do not: what
-   * justified an attempt may have left them. Harm: fewer at once; none at all with under one free. */
-  static final class Budget {
-    private final Rules rules;
-    private double room;
-
-    Budget(Rules rules) {
-      this.rules = rules;
-      room = rules.budgetFree();
-    }
-
-    void took(int requests) {
-      room = Math.min(rules.budgetFree(), room + requests * rules.budgetShare());
-    }
-
-    void spend(int attempts) {
-      room -= rules.budgetWindowUs() > 0 ? attempts : 0;
-    }
-
-    boolean allows() {
-      return rules.budgetWindowUs() <= 0 || room >= 1;
-    }
-  }
-
-  /** Rule 5: a volume's limit, this host's part. It starts empty at each launch: a restarted host has
-   * forgotten what it spent, and so is never above its part. The first seconds after a launch are the
-   * price. */
-  static final class Limit {
-    private double depth, rate, level;
-    private long at;
-
-    Limit(double perSecond, double depth, double level, long at) {
-      this.depth = depth;
-      this.level = level;
-      this.at = at;
-      rate = perSecond / 1e6;
-    }
-
-    /** Another rate and depth from now on: what was earned stays as far as it fits, nothing is added. */
-    Limit change(double perSecond, double newDepth, long now) {
-      level = Math.min(newDepth, Math.min(depth, level + rate * (now - at)));
-      at = now;
-      depth = newDepth;
-      rate = perSecond / 1e6;
-      return this;
-    }
-
-    boolean allows(double units, long now) {
-      level = Math.min(depth, level + rate * (now - at));
-      at = now;
-      return level >= units;
-    }
-
-    boolean full(long now) {
-      return rate <= 0 || allows(depth, now);
-    }
-
-    void add(double units) {
-      level = Math.min(depth, level + units);
-    }
-  }
-
   /** Requests of one volume that earn the same and may go by the same limit and budget; in it, by aim. */
   record Sort(String className, double units, boolean again, boolean paid) {}
 
@@ -201,8 +138,8 @@
     final Aim aim;
     /** Even over 0 to 1, from the instance's seed. */
     final double chance;
-    final Limit reserve;
-    Limit limit;
+    final TokenBucket reserve;
+    TokenBucket limit;
     Plan plan;
     KeyLine line;
     Node node;
@@ -219,7 +156,7 @@
     boolean doubtKept;
 
     Pending(Request request, RequestClass rules, long most, Plan plan, long seq, long now, double chance,
-        Limit limit, Limit reserve) {
+        TokenBucket limit, TokenBucket reserve) {
       this.request = request;
       this.rules = rules;
       this.plan = plan;
@@ -319,7 +256,7 @@
     long born, listedBorn;
     double window = WINDOW_START;
     /** What one host may send while it is cold: half the safe units at once, half over the rule's window. */
-    Limit safe;
+    TokenBucket safe;
     double seen = usual, gap = FADE_MOST;
     /** Expected latency as of the present choice: the same for all that is looked at. */
     double wait;
@@ -339,7 +276,7 @@
     void restart(long bornUs) {
       born = bornUs;
       double half = settings.store().coldUnits() / 2;
-      safe = new Limit(half * 1e6 / Math.max(1, settings.rules().fallUs()), half, 0, now);
+      safe = new TokenBucket(half * 1e6 / Math.max(1, settings.rules().fallUs()), half, 0, now);
       window = WINDOW_START;
       seen = usual;
       refused = 0;
@@ -675,7 +612,7 @@
     double rate = plan.limit() / c.hosts(), depth = plan.limitBurst() / c.hosts();
     limits.compute(c.volume(), (k, limit) -> plan.limit() <= 0
         ? null
-        : limit == null ? new Limit(rate, depth, 0, now) : limit.change(rate, depth, now));
+        : limit == null ? new TokenBucket(rate, depth, 0, now) : limit.change(rate, depth, now));
     reserves.computeIfPresent(c.volume(), (k, reserve) -> reserve.change(plan.reserve() / c.hosts(),
         reserveDepth(plan, c.hosts()), now));
     for (Pending p : pendings.values()) {
@@ -801,12 +738,14 @@
       return;
     }
     int hosts = own != null ? own.hosts() : r.hosts() > 0 ? r.hosts() : settings.hosts();
-    Limit limit = plan.limit() <= 0
+    TokenBucket limit = plan.limit() <= 0
         ? null
-        : limits.computeIfAbsent(r.volume(), k -> new Limit(plan.limit() / hosts, plan.limitBurst() / hosts,
+        : limits.computeIfAbsent(r.volume(), k -> new TokenBucket(plan.limit() / hosts, plan.limitBurst()
+            / hosts,
             0, launchedAt));
     double depth = reserveDepth(plan, hosts);
-    Limit reserve = reserves.computeIfAbsent(r.volume(), k -> new Limit(plan.reserve() / hosts, depth, depth,
+    TokenBucket reserve = reserves.computeIfAbsent(r.volume(), k -> new TokenBucket(plan.reserve() / hosts,
+        depth, depth,
         now));
     long most = mostRemaining.merge(r.className(), r.remainingUs(), Math::max);
     Pending p = new Pending(r, rules, most, plan, seq++, now, random.nextDouble(), limit, reserve);
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -199,7 +199,7 @@
   void budgetsOfSeveralHoldTogetherInAnySpan() {
     double free = 6;
     Rules rules = new Rules(0, 0, 0, 0, 1, 1, 0, 0.5, free / 2, 1_000, 0);
-    Choice.Budget[] lanes = {new Choice.Budget(rules), new Choice.Budget(rules)};
+    AttemptBudget[] lanes = {new AttemptBudget(rules), new AttemptBudget(rules)};
     var random = new java.util.SplittableRandom(9);
     List<int[]> story = new java.util.ArrayList<>();
     for (int step = 0; step < 4_000; step++) {
