A request that holds up the answers behind it is answered in their time

Callers: a request with 0.8 s left, sent behind one with 15 s, was answered after 14.9 s (lost: later than half a second after its time). Cause: answers on a connection go out in order, and the open request had its own client's time only (ClientConnection.next, Desk.take). Change: Desk.hasten and the event Hastened: the module gives the open request its final answer by the time of the earliest that waits behind it. The smallest departure: the same step as at the process's end (Choice.hasten), for one request.

--- a/src/main/java/hollyslip/Choice.java
+++ b/src/main/java/hollyslip/Choice.java
@@ -577,6 +577,8 @@
       outcome(outcome);
     } else if (event instanceof Departed gone && pendings.containsKey(gone.request())) {
       finish(pendings.get(gone.request()));
+    } else if (event instanceof Hastened sooner && pendings.containsKey(sooner.request())) {
+      hasten(pendings.get(sooner.request()), sooner.answerBy());
     } else if (event instanceof Started started && pendings.containsKey(started.request())) {
       pendings.get(started.request()).streaming = true;
     } else if (event instanceof VolumeChanged changed) {
@@ -593,12 +595,13 @@
     turn();
   }
 
-  /** Nothing waits beyond the end of the process: what would is answered by then. */
+  /** A request that is still open is answered by then. */
   private void hasten(Pending p, long by) {
-    byDeadline.remove(p);
-    p.deadline = Math.min(p.deadline, by);
-    p.answerBy = Math.min(p.answerBy, by);
-    byDeadline.add(p);
+    if (byDeadline.remove(p)) {
+      p.deadline = Math.min(p.deadline, by);
+      p.answerBy = Math.min(p.answerBy, by);
+      byDeadline.add(p);
+    }
   }
 
   /** Other terms for a volume; requests that it holds stand on them too. A limit that is new to it starts
--- a/src/main/java/hollyslip/HostScheduler.java
+++ b/src/main/java/hollyslip/HostScheduler.java
@@ -170,8 +170,8 @@
   }
 
   /** Something that happened. */
-  sealed interface Event permits NodeList, ListFailed, Request, TimerDue, Outcome, Departed, Probed, Started,
-      VolumeChanged, VolumeRemoved, Stopping {}
+  sealed interface Event permits NodeList, ListFailed, Request, TimerDue, Outcome, Departed, Hastened, Probed,
+      Started, VolumeChanged, VolumeRemoved, Stopping {}
 
   /** News of the node list; {@code whole}: nodes not named are gone. */
   record NodeList(boolean whole, List<Listed> nodes) implements Event {
@@ -210,6 +210,10 @@
   /** The client of a request left. */
   record Departed(long request) implements Event {}
 
+  /** A request must have its final answer by {@code answerBy}, if that is before its client gives up: one
+   * that came after it on the same connection, whose answers go out in order, cannot wait longer. */
+  record Hastened(long request, long answerBy) implements Event {}
+
   /** A probe ended; {@code report} may be null. */
   record Probed(long node, Result result, long tookUs, List<Double> report) implements Event {
     public Probed {
--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -176,6 +176,10 @@
       queued = item.refused(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
     waiting.add(queued);
+    if (open != null) {
+      // Answers go out in order: the open one may not take longer than this one can wait.
+      front.desk().hasten(open, queued.answerBy());
+    }
     next();
     if (waiting.size() >= MOST_OWED) {
       channel.config().setAutoRead(false);
@@ -226,6 +230,10 @@
         answer(HttpResponseStatus.CONFLICT, NOTHING, 0, item.close());
       } else {
         open = front.desk().take(item.ask(), item.body(), item.cameAt(), new Reply(item.close()));
+        waiting.stream()
+            .mapToLong(Incoming::answerBy)
+            .min()
+            .ifPresent(earliest -> front.desk().hasten(open, earliest));
       }
     }
   }
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -128,6 +128,14 @@
     return cameAt + ask.remainingUs() - Math.min(ON_ITS_WAY_US, ask.remainingUs() / 10);
   }
 
+  /** A request has to be answered by then, us, if that is before its client gives up. */
+  void hasten(Exchange x, long by) {
+    if (!x.over() && by < x.deadline()) {
+      x.hasten(by);
+      post(new HostScheduler.Hastened(x.number, by));
+    }
+  }
+
   /** The client of a request left. */
   void departed(Exchange x) {
     if (!x.over()) {
--- a/src/test/java/hollyslip/HeldTest.java
+++ b/src/test/java/hollyslip/HeldTest.java
@@ -121,4 +121,24 @@
     f.setAccessible(true);
     return ((Map<?, ?>) f.get(c)).size();
   }
+
+  /** One that came after it on its connection can wait no longer, and answers go out in order. */
+  @Test
+  void whatHoldsUpAnAnswerBehindItIsAnsweredByThen() {
+    Choice c = new Choice(Worlds.settings());
+    List<Action> all = new ArrayList<>();
+    c.handle(START, new NodeList(true, List.of(Worlds.node(1, 0, NodeState.ON, 0))), all::add);
+    c.handle(START, Worlds.request(1, "read", "free", 5L, 9, 2, 0), all::add);
+    c.handle(START, Worlds.request(2, "write", "free", 5L, 9, 2, 0), all::add);
+    long by = START + 100_000;
+    c.handle(START, new Hastened(1, by), all::add);
+    c.handle(START, new Hastened(2, START + 60_000_000), all::add);
+    for (long now = START; now < by; now += 1_000) {
+      c.handle(now, new TimerDue(0), all::add);
+    }
+    assertTrue(all.stream().anyMatch(a -> a instanceof Refuse r && r.request() == 1), all::toString);
+    assertTrue(all.stream().noneMatch(a -> a instanceof Fail), "the other one's time stays as it was");
+    c.handle(by, new Hastened(1, by - 1), all::add);
+    assertEquals(1, all.stream().filter(a -> a instanceof Refuse).count(), "one answer");
+  }
 }
