Part of a next request has its time limit, and does not hold up the process's end

Cause: ClientConnection forgot since when a part was there once a request in the same bytes was whole, and only connections at rest were ended at the process's end. Evidence: both LostRequestsTest.partOfANextRequest... failed, pass now.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -149,7 +149,7 @@
   void sweep(long now) {
     if (writingSince >= 0 && now - writingSince >= Front.TAKEN_WITHIN_US) {
       close("answer not taken");
-    } else if (state.reads() && partSince >= 0 && now - partSince >= Front.WHOLE_WITHIN_US) {
+    } else if (state.reads() && partSince >= 0 && now - partSince >= front.wholeWithinUs()) {
       endPart();
     }
   }
@@ -366,8 +366,11 @@
       } finally {
         reading = false;
       }
-      if (partSince >= 0 && !decoder.within()) {
+      if (!decoder.within() || !state.reads()) {
         partSince = -1;
+      } else if (partSince < 0) {
+        // A request ended in these bytes, and the next one began.
+        partSince = readAt;
       }
     }
 
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -110,6 +110,11 @@
     return ready && !parting;
   }
 
+  /** How long the rest of a request, or a first one, is waited for, us. */
+  long wholeWithinUs() {
+    return parting ? TOLD_TO_CLOSE_US : WHOLE_WITHIN_US;
+  }
+
   /** The end is near: nothing more is taken, and connections end with what was read on them answered. */
   boolean parting() {
     return parting;
@@ -125,6 +130,8 @@
   void part() {
     parting = true;
     List.copyOf(all).forEach(c -> c.closeIfResting("the process ends"));
+    loop.schedule(() -> List.copyOf(all).forEach(ClientConnection::endPart), TOLD_TO_CLOSE_US,
+        TimeUnit.MICROSECONDS);
     resume();
   }
 
