What is not written whole is withdrawn when its request is over

Callers: a client left while its request of 60,000 bytes was being written to a disk server; the rest was written all the same, and the disk server ran it (lost: forwarded after it had ended). Cause: DiskServers.withdraw took back only calls that had no connection yet, and only for a client that left, not for a request that had its final answer. Change: every call that is not written whole ends, with its connection, once its request is over.

--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -141,7 +141,6 @@
     if (!x.over()) {
       logEnd("request.abandoned", x);
       x.left();
-      List.copyOf(calls.getOrDefault(x.number, Map.of()).values()).forEach(disks::withdraw);
       post(new HostScheduler.Departed(x.number));
       forgetIfDone(x);
     }
@@ -336,7 +335,11 @@
     }
   }
 
+  /** Nothing more is sent for a request that is over; it is forgotten when its last attempt has ended. */
   private void forgetIfDone(Exchange x) {
+    if (x.over()) {
+      List.copyOf(calls.getOrDefault(x.number, Map.of()).values()).forEach(disks::withdraw);
+    }
     if (x.over() && x.out == 0 && byNumber.remove(x.number) != null) {
       byId.remove(x.ask.id(), x);
       bytes -= x.body.length;
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -114,9 +114,10 @@
     }
   }
 
-  /** Gives a call up of which nothing was written yet. */
+  /** Gives a call up that has not been written whole: its request has not run, and its end must not
+   * follow. */
   void withdraw(Call c) {
-    if (!c.written && c.connection == null) {
+    if (!c.written) {
       waiting.remove(c);
       cancel(c);
     }
--- a/src/test/c/syscall_faults.c
+++ b/src/test/c/syscall_faults.c
@@ -56,10 +56,16 @@
 
 static int to_slow_port(int fd) {
   long port = setting("FAULT_WRITE_PORT");
-  struct sockaddr_in peer;
+  struct sockaddr_storage peer;
   socklen_t length = sizeof peer;
-  return port > 0 && fd < FDS && getpeername(fd, (struct sockaddr *) &peer, &length) == 0
-      && peer.sin_family == AF_INET && ntohs(peer.sin_port) == port;
+  if (port <= 0 || fd >= FDS || getpeername(fd, (struct sockaddr *) &peer, &length) != 0) {
+    return 0;
+  }
+  /* The JVM's sockets are of IPv6, with mapped addresses. */
+  if (peer.ss_family == AF_INET6) {
+    return ntohs(((struct sockaddr_in6 *) &peer)->sin6_port) == port;
+  }
+  return peer.ss_family == AF_INET && ntohs(((struct sockaddr_in *) &peer)->sin_port) == port;
 }
 
 /* Bytes that this write may take, or -1 with errno for a pause; the descriptor's last write counts. */
