--- a/src/main/java/hollyslip/platform/ArrivalClock.java
+++ b/src/main/java/hollyslip/platform/ArrivalClock.java
@@ -6,7 +6,7 @@
  * us, handed in. */
 final class ArrivalClock {
   /** How often a loop that is not held up calls {@link #tick}, us. */
-  static final long TICK_US = 50_000;
+  static final long TICK_US = 20_000;
 
   private static final long NEVER = Long.MAX_VALUE;
 
@@ -33,7 +33,7 @@
     return Math.min(now, tickBefore + 2 * TICK_US);
   }
 
-  /** Connections are not accepted from now on, though some may come. */
+  /** Connections may wait in the listener's queue from now on. */
   void acceptStopped(long now) {
     queuedSince = Math.min(queuedSince, arrival(now));
   }
--- a/src/main/java/hollyslip/platform/Call.java
+++ b/src/main/java/hollyslip/platform/Call.java
@@ -13,9 +13,9 @@
     void ended(Result result, long tookUs, HttpHeaders headers, byte[] body);
   }
 
-  /** Whether the first byte may still be written. */
+  /** Whether the first byte may still be written: asked at the last moment, as looking may take its time. */
   interface Wanted {
-    boolean now(long now);
+    boolean now();
   }
 
   final DiskServer to;
--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -281,8 +281,9 @@
     long last = Math.min(x.deadline(), answerBy);
     long giveUpAt = s.timeoutAt() > 0 ? Math.min(s.timeoutAt(), last) : last;
     long born = to.bornUs;
-    Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), at -> at <= s.startBy()
-        && to.bornUs == born && mayStart(to) && x.wanted(), (result, tookUs, headers, body) -> ended(x,
+    Call c = new Call(to, now, giveUpAt, waitUs -> bytes(x, to, waitUs), () -> x.wanted() && clock
+        .now() <= s.startBy() && to.bornUs == born && mayStart(to), (result, tookUs, headers, body) -> ended(
+            x,
             attempt, to, result, tookUs,
             headers,
             body));
@@ -356,7 +357,7 @@
     String path = reports ? "/status/load" : "/health";
     disks.start(new Call(to, now, now + settings.allowed().connectTimeoutUs(), waitUs -> Http.bytes("GET "
         + path
-        + " HTTP/1.1\r\nHost: " + Http.authority(to.dial) + "\r\n\r\n"), at -> to.state != NodeState.GONE, (
+        + " HTTP/1.1\r\nHost: " + Http.authority(to.dial) + "\r\n\r\n"), () -> to.state != NodeState.GONE, (
             result,
             tookUs, headers, body) -> {
           post(new HostScheduler.Probed(node, result, tookUs, readings.probed(headers, body)));
--- a/src/main/java/hollyslip/platform/DiskConnection.java
+++ b/src/main/java/hollyslip/platform/DiskConnection.java
@@ -67,7 +67,8 @@
   }
 
   /** Writes a call's request whole; how it ends is told to the call. */
-  void start(Call c, long now) {
+  void start(Call c) {
+    long now = owner.now();
     call = c;
     c.connection = this;
     idleUs = used ? now - freeAt : -1;
@@ -76,7 +77,7 @@
     head = null;
     interim = 0;
     dropBody();
-    channel.writeAndFlush(c.bytes.apply(c.giveUpAt - now)).addListener(f -> {
+    channel.writeAndFlush(c.bytes.apply(c.giveUpAt - owner.now())).addListener(f -> {
       if (f.isSuccess()) {
         c.written = true;
       } else {
--- a/src/main/java/hollyslip/platform/DiskServers.java
+++ b/src/main/java/hollyslip/platform/DiskServers.java
@@ -90,13 +90,13 @@
     c.to.calls++;
     long now = now();
     c.timeout = loop.schedule(() -> timedOut(c), Math.max(0, c.giveUpAt - now), TimeUnit.MICROSECONDS);
-    if (!c.wanted.now(now)) {
+    if (!c.wanted.now()) {
       c.end(Result.MOOT, now);
       return;
     }
-    DiskConnection kept = kept(c.to, now);
+    DiskConnection kept = kept(c.to, now());
     if (kept != null) {
-      kept.start(c, now);
+      kept.start(c);
     } else if (open() < most || evict()) {
       dial(c);
     } else {
@@ -125,9 +125,10 @@
     }
   }
 
-  private void write(DiskConnection on, Call c, long now) {
-    if (now - c.startedAt < connectUs && now < c.giveUpAt && c.wanted.now(now)) {
-      on.start(c, now);
+  private void write(DiskConnection on, Call c) {
+    long now = now();
+    if (now - c.startedAt < connectUs && now < c.giveUpAt && c.wanted.now()) {
+      on.start(c);
     } else {
       c.end(Result.MOOT, now);
       free(on);
@@ -216,11 +217,10 @@
     DiskConnection connection = new DiskConnection(to, address, channel, this);
     all.add(connection);
     connection.open();
-    long now = now();
     if (c.ended()) {
       free(connection);
     } else {
-      write(connection, c, now);
+      write(connection, c);
     }
   }
 
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -123,6 +123,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
       tookAll = inThisRead < MOST_ACCEPTED;
+      if (!tookAll) {
+        arrivals.acceptStopped(now());
+      }
       inThisRead = 0;
       ctx.fireChannelReadComplete();
     }
--- a/src/test/java/hollyslip/platform/ArrivalClockTest.java
+++ b/src/test/java/hollyslip/platform/ArrivalClockTest.java
@@ -17,20 +17,21 @@
 
   @Test
   void whatIsReadAfterAHoldUpMayHaveComeAtItsStart() {
-    clock.tick(START + 50_000);
-    clock.tick(START + 100_000);
-    assertEquals(START + 50_000 + 2 * ArrivalClock.TICK_US, clock.arrival(START + 900_000));
+    long tick = ArrivalClock.TICK_US;
+    clock.tick(START + tick);
+    clock.tick(START + 2 * tick);
+    assertEquals(START + 3 * tick, clock.arrival(START + 900_000));
     // The first tick after it may come before the look at the sockets.
     clock.tick(START + 900_000);
-    assertEquals(START + 100_000 + 2 * ArrivalClock.TICK_US, clock.arrival(START + 900_000));
-    clock.tick(START + 950_000);
-    assertEquals(START + 960_000, clock.arrival(START + 960_000));
+    assertEquals(START + 4 * tick, clock.arrival(START + 900_000));
+    clock.tick(START + 900_000 + tick);
+    assertEquals(START + 910_000 + tick, clock.arrival(START + 910_000 + tick));
   }
 
   @Test
   void aConnectionMayHaveWaitedSinceNobodyWasAcceptedUntilTheQueueIsEmpty() {
     clock.acceptStopped(START + 20_000);
-    clock.tick(START + 1_950_000);
+    clock.tick(START + 1_980_000);
     clock.tick(START + 2_000_000);
     clock.acceptStopped(START + 2_000_000);
     assertEquals(START + 20_000, clock.queuedSince(START + 2_010_000));
--- a/src/test/java/hollyslip/platform/CallsTest.java
+++ b/src/test/java/hollyslip/platform/CallsTest.java
@@ -53,7 +53,7 @@
 
   private void start(DiskServers servers, DiskServer to, long waitUs, boolean wanted) throws Exception {
     long now = clock.now();
-    Call c = new Call(to, now, now + waitUs, w -> Http.bytes(REQUEST), at -> wanted, (result, took, headers,
+    Call c = new Call(to, now, now + waitUs, w -> Http.bytes(REQUEST), () -> wanted, (result, took, headers,
         body) -> results.add(result));
     group.submit(() -> servers.start(c)).sync();
   }
