A request that the module forgot to answer is failed, 0.1 s after it had to be answered

Cause: Desk.handleEvents goes on after a fault, and nothing else owed the answer. Evidence: both tests of DeskTest time out without it (20 s, no answer) and pass with it.

--- a/src/main/java/hollyslip/platform/Desk.java
+++ b/src/main/java/hollyslip/platform/Desk.java
@@ -30,6 +30,10 @@
    * for tens of ms. At most a tenth of the time that the client waits. */
   private static final long ON_ITS_WAY_US = 30_000;
 
+  /** A request that the module has not answered so long after it had to be is failed here, us: a fault of the
+   * module may lose it. */
+  private static final long OVERDUE_US = 100_000;
+
   private final HostScheduler module;
   private final Settings settings;
   private final EventLoop loop;
@@ -326,6 +330,19 @@
     forgetIfGone(from);
   }
 
+  /** To be called now and then: fails what the module has forgotten to answer. */
+  void failOverdue() {
+    long now = clock.now();
+    for (Exchange x : List.copyOf(byNumber.values())) {
+      if (!x.over() && now > x.deadline() + OVERDUE_US) {
+        logEnd("request.overdue", x);
+        x.fail();
+        post(new HostScheduler.Departed(x.number));
+        forgetIfDone(x);
+      }
+    }
+  }
+
   /** Logs how a request ends, before it does. */
   private void logEnd(String name, Exchange x) {
     if (!x.over()) {
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -266,6 +266,7 @@
   private void sweep() {
     long now = now();
     List.copyOf(all).forEach(c -> c.sweep(now));
+    desk.failOverdue();
     makeRoom(now);
   }
 }
--- a/src/test/java/hollyslip/platform/Site.java
+++ b/src/test/java/hollyslip/platform/Site.java
@@ -15,7 +15,7 @@
 
 /** One scheduler between scripted peers: shard 0 at {@code disk}, the list at {@code discovery}. */
 final class Site implements AutoCloseable {
-  private static final String SETTINGS = """
+  static final String SETTINGS = """
       {"az":"a","balancers":1,"myNumber":0,"tick":0.002,"classes":[
        {"name":"get","effect":"pure","group":"all","window":5,"aim":10,"giveUp":20,"points":1,"lateValue":0.2},
        {"name":"put","effect":"token","group":"cell","window":20,"aim":10,"giveUp":20,"points":1},
