A watch that is answered slowly is waited for beside newer tries

Cause: Discovery closed each overdue attempt, so that a loop of tries was each too short. Change: up to five overdue attempts stay open for up to 5 s beside the newest, the oldest longest; the first that is answered counts. Tries still follow each other every quarter second. Evidence: DiscoveryTest.aDiscoveryThatIsSlowToAnswerIsHeard (0.7 and 3 s) failed, passes now.

--- a/src/main/java/hollyslip/platform/Discovery.java
+++ b/src/main/java/hollyslip/platform/Discovery.java
@@ -16,12 +16,14 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** Follows the list: one watch, from the last version on. A watch that ends, falls silent or cannot be read
- * is replaced by a new one; the old one is read until the new one is answered. {@link WatchClock} says
- * when. */
+ * is replaced by a new one; the old one is read until the new one is answered. One that is not answered soon
+ * is tried again beside it: the first answer counts. {@link WatchClock} says when. */
 final class Discovery {
   private static final long TICK_MS = 50;
 
@@ -39,6 +41,8 @@
   private long seq;
   /** The one that was answered, and the one that is being opened; null: none. */
   private Watch current, attempt;
+  /** Those that were not answered soon, oldest first. */
+  private final List<Watch> overdue = new ArrayList<>();
   private boolean stopped;
 
   /** @param seq
@@ -67,19 +71,35 @@
   void follow(InetSocketAddress other) {
     address = other;
     times.restart();
+    closeAttempts();
+    open();
+  }
+
+  void stop() {
+    stopped = true;
+    closeAttempts();
+    if (current != null) {
+      current.close();
+    }
+  }
+
+  private void closeAttempts() {
     if (attempt != null) {
       attempt.close();
       attempt = null;
     }
-    open();
+    overdue.forEach(Watch::close);
+    overdue.clear();
   }
 
-  void stop() {
-    stopped = true;
-    for (Watch w : new Watch[]{current, attempt}) {
-      if (w != null) {
-        w.close();
-      }
+  /** Leaves the newest attempt open and makes way for another. The oldest is the last to be given up: one
+   * that is answered slowly needs its time, and no loop of short attempts gives it that. */
+  private void setAside() {
+    overdue.add(attempt);
+    attempt = null;
+    times.failed(clock.now());
+    if (overdue.size() > WatchClock.MOST_OVERDUE) {
+      overdue.get(1).ended("no answer");
     }
   }
 
@@ -92,9 +112,12 @@
       // It may be here: this process may have been held up.
       attempt.readNow();
       if (attempt != null) {
-        attempt.ended("no answer");
+        setAside();
       }
     }
+    if (!overdue.isEmpty() && now - overdue.get(0).openedAt >= WatchClock.PATIENCE_US) {
+      overdue.get(0).ended("no answer");
+    }
     if (attempt == null && current != null && times.opensAt(now, true)) {
       current.readNow();
     }
@@ -114,7 +137,7 @@
     new Bootstrap().group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (times.answerUs() / 1000))
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (WatchClock.PATIENCE_US / 1000))
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel ch) {
@@ -152,6 +175,7 @@
   /** One connection to discovery, from its request to its end. */
   private final class Watch extends ChannelInboundHandlerAdapter {
     private final InetSocketAddress to;
+    private final long openedAt = clock.now();
     private final JsonStream objects = new JsonStream(MOST_OBJECT);
     private Channel channel;
     private boolean over, reported;
@@ -179,6 +203,10 @@
         return;
       }
       close();
+      if (overdue.remove(this)) {
+        log.event("discovery.lost", "address", to, "reason", why);
+        return;
+      }
       if (this == attempt) {
         attempt = null;
       } else if (this == current) {
@@ -226,7 +254,11 @@
         current.close();
       }
       current = this;
-      attempt = null;
+      overdue.remove(this);
+      if (this == attempt) {
+        attempt = null;
+      }
+      closeAttempts();
       times.answered(clock.now());
       if (seq >= 0) {
         speaks.run();
--- a/src/main/java/hollyslip/platform/WatchClock.java
+++ b/src/main/java/hollyslip/platform/WatchClock.java
@@ -14,6 +14,10 @@
    * when discovery comes back counts as told at once, so the next attempt must not be far. */
   static final long ANSWER_US = 250_000;
 
+  /** An attempt that is not answered soon stays open for so long, us, beside newer ones; and how many do. */
+  static final long PATIENCE_US = 5_000_000;
+  static final int MOST_OVERDUE = 5;
+
   /** Pauses after failed attempts: doubled from the first to the last. */
   static final long PAUSE_US = 50_000, MOST_PAUSE_US = 200_000;
 
--- a/src/test/java/hollyslip/platform/DiscoveryTest.java
+++ b/src/test/java/hollyslip/platform/DiscoveryTest.java
@@ -5,10 +5,14 @@
 
 import java.nio.file.Files;
 import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The list on loopback. */
 @Timeout(60)
@@ -170,4 +174,21 @@
       moved.nothingElse();
     }
   }
+
+  /** It answers each watch after this time; an attempt is followed by the next after a quarter of a
+   * second. */
+  @ParameterizedTest
+  @ValueSource(ints = {700, 3000})
+  void aDiscoveryThatIsSlowToAnswerIsHeard(int answersAfterMs) throws Exception {
+    try (Site site = new Site(new WatchClock())) {
+      Peer.Came first = site.discovery.next();
+      ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+      timer.schedule(() -> {
+        first.answer(watch(up(42, site.disk, 1)));
+        return null;
+      }, answersAfterMs, TimeUnit.MILLISECONDS);
+      served(site, 1);
+      timer.shutdown();
+    }
+  }
 }
