A test for clients that wait for 100 Continue, which they never got on

Callers: a client with Expect: 100-continue waited 2.5 s for word and got a 408. Cause: ClientConnection.head asked quiet(), which is false while a request is being read.

--- a/src/test/java/hollyslip/platform/FrontTest.java
+++ b/src/test/java/hollyslip/platform/FrontTest.java
@@ -240,6 +240,21 @@
     }
   }
 
+  @Test
+  void aClientThatWaitsForWordBeforeItsBodyGetsIt() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      String write = Site.write("put", "t1", "k", "body")
+          .replace("\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n");
+      client.send(write.replace("\r\n\r\nbody", "\r\n\r\n"));
+      assertEquals("HTTP/1.1 100 Continue\r\n\r\n", Peer.head(client.socket.getInputStream()));
+      client.send("body");
+      Peer.Came c = site.disk.next();
+      assertEquals("body", c.body());
+      c.ok("x");
+      assertEquals(200, client.status());
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "GET /get/7f3a9c21e0b4d655 HT", "half"})
   void whatIsNeverWholeIsClosed(String bytes) throws Exception {
