An error behind an open request leaves that request its time

Callers: a good request with an erroneous one behind it on its connection was refused after 0.3 s. Change: an error is due 2 s after it was read, of the 3 s that a client is owed it in; 0.3 s only where the 2.5 s for a whole request have passed before. Evidence: FrontTest.anErrorBehindAnOpenRequestLeavesItTime failed, passes now.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -217,7 +217,10 @@
       state = State.BROKEN;
       partSince = -1;
       assembler.reset();
-      queue(Incoming.error(status, front.now() + Front.ERROR_WITHIN_US, true));
+      long within = status == HttpResponseStatus.REQUEST_TIMEOUT
+          ? Front.TIMEOUT_WITHIN_US
+          : Front.ERROR_WITHIN_US;
+      queue(Incoming.error(status, front.now() + within, true));
     }
   }
 
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -29,8 +29,9 @@
   /** An answer that its client does not take for so long ends its connection, us. */
   static final long TAKEN_WITHIN_US = 5_000_000;
 
-  /** An error is owed so soon, us, though an earlier request is open. */
-  static final long ERROR_WITHIN_US = 300_000;
+  /** An error is owed so soon, us, though an earlier request is open; one for a request that was not whole in
+   * its time sooner, as that time counts too. */
+  static final long ERROR_WITHIN_US = 2_000_000, TIMEOUT_WITHIN_US = 300_000;
 
   /** A client that was told to close its connection may still send on it for so long, us. */
   static final long TOLD_TO_CLOSE_US = 60_000;
--- a/src/test/java/hollyslip/platform/FrontTest.java
+++ b/src/test/java/hollyslip/platform/FrontTest.java
@@ -240,6 +240,19 @@
     }
   }
 
+  /** The error is owed in its time; until then the request ahead of it may still be served. */
+  @Test
+  void anErrorBehindAnOpenRequestLeavesItTime() throws Exception {
+    try (Site site = new Site(); Site.Client client = site.client()) {
+      client.send(Site.read("t1") + Site.read("t2").replace("gold", "lead"));
+      Peer.Came c = site.disk.next();
+      Thread.sleep(600);
+      c.ok("served");
+      assertTrue(client.answer().endsWith("served"));
+      assertEquals(400, client.status());
+    }
+  }
+
   @Test
   void aClientThatWaitsForWordBeforeItsBodyGetsIt() throws Exception {
     try (Site site = new Site(); Site.Client client = site.client()) {
