--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -44,10 +44,10 @@
 
   /** {@code OPEN}: requests are read and served. {@code ENDING}: the last answer is announced; requests that
    * still come are refused. {@code BROKEN}: where the next request starts is unknown; what comes is dropped,
-   * answers still go out. {@code DRAINING}: this side has ended its sending, what comes is dropped.
+   * answers still go out. {@code DISCARDING}: this side has ended its sending, what comes is dropped.
    * {@code CLOSED}: there is no connection any more. */
   private enum State {
-    OPEN, ENDING, BROKEN, DRAINING, CLOSED;
+    OPEN, ENDING, BROKEN, DISCARDING, CLOSED;
 
     boolean reads() {
       return this == OPEN || this == ENDING;
@@ -118,10 +118,10 @@
 
   /** Closes it if only the client's end is waited for; what has come is dropped before, as a close over
    * unread bytes is a reset, which might take the error along. */
-  void closeIfDraining() {
-    if (state == State.DRAINING) {
+  void closeIfDiscarding() {
+    if (state == State.DISCARDING) {
       readNow();
-      close("drained");
+      close("error taken");
     }
   }
 
@@ -230,7 +230,7 @@
       Incoming item = nextWaiting();
       if (!item.isRequest()) {
         answer(item.error(), NOTHING, 0, item.close());
-      } else if (front.parting() || state == State.ENDING) {
+      } else if (front.draining() || state == State.ENDING) {
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NOTHING, 0, item.close());
       } else if (front.desk().isOpen(item.ask().id())) {
         answer(HttpResponseStatus.CONFLICT, NOTHING, 0, item.close());
@@ -282,7 +282,7 @@
    * @param close
    *          its client asked for the end of the connection after it */
   private void answer(HttpResponseStatus status, byte[] text, long retryInUs, boolean close) {
-    if (state == State.OPEN && (close || front.parting())) {
+    if (state == State.OPEN && (close || front.draining())) {
       state = State.ENDING;
     }
     // Whatever was read is answered before the connection ends.
@@ -307,7 +307,7 @@
     if (!waiting.isEmpty()) {
       next();
     } else if (state == State.BROKEN) {
-      drain();
+      discard();
     } else if (state == State.ENDING && close) {
       closeIfResting("as the client asked");
     } else if (state == State.ENDING) {
@@ -318,11 +318,11 @@
   }
 
   /** Ends this side's sending; the rest goes once the client's side has ended too, or soon. */
-  private void drain() {
-    state = State.DRAINING;
+  private void discard() {
+    state = State.DISCARDING;
     ((SocketChannel) channel).shutdownOutput();
-    long linger = front.parting() ? Front.TOLD_TO_CLOSE_US : Front.LINGER_US;
-    channel.eventLoop().schedule(this::closeIfDraining, linger, TimeUnit.MICROSECONDS);
+    long linger = front.draining() ? Front.TOLD_TO_CLOSE_US : Front.LINGER_US;
+    channel.eventLoop().schedule(this::closeIfDiscarding, linger, TimeUnit.MICROSECONDS);
   }
 
   /** The connection is gone, and with it whoever waits for what is open. */
--- a/src/main/java/hollyslip/platform/Front.java
+++ b/src/main/java/hollyslip/platform/Front.java
@@ -61,7 +61,7 @@
   private final Set<ClientConnection> all = new LinkedHashSet<>();
   private final ArrivalClock arrivals;
   private Channel listener;
-  private boolean ready, parting, full, acceptPaused;
+  private boolean ready, draining, full, acceptPaused;
   /** Connections that ever came, now and when it was last asked whether all is done. */
   private long accepted, acceptedBefore = -1;
 
@@ -177,17 +177,17 @@
   }
 
   boolean ready() {
-    return ready && !parting;
+    return ready && !draining;
   }
 
   /** How long the rest of a request, or a first one, is waited for, us. */
   long wholeWithinUs() {
-    return parting ? TOLD_TO_CLOSE_US : WHOLE_WITHIN_US;
+    return draining ? TOLD_TO_CLOSE_US : WHOLE_WITHIN_US;
   }
 
   /** The end is near: nothing more is taken, and connections end with what was read on them answered. */
-  boolean parting() {
-    return parting;
+  boolean draining() {
+    return draining;
   }
 
   void setReady() {
@@ -197,8 +197,8 @@
   /** Ends connections that carry nothing, and the others with the answer to what was read on them; a request
    * of which a part has come has a moment left. Those that still come are answered too: what the system has
    * accepted counts as taken. */
-  void part() {
-    parting = true;
+  void drain() {
+    draining = true;
     List.copyOf(all).forEach(c -> c.closeIfResting("the process ends"));
     loop.schedule(() -> List.copyOf(all).forEach(ClientConnection::endPart), TOLD_TO_CLOSE_US,
         TimeUnit.MICROSECONDS);
@@ -255,7 +255,7 @@
     }
     if (all.size() >= most) {
       // Their ends were told; what they still send is not looked at.
-      List.copyOf(all).forEach(ClientConnection::closeIfDraining);
+      List.copyOf(all).forEach(ClientConnection::closeIfDiscarding);
     }
     if (all.size() >= most && !full) {
       full = true;
--- a/src/main/java/hollyslip/platform/Node.java
+++ b/src/main/java/hollyslip/platform/Node.java
@@ -37,7 +37,7 @@
   /** How long before that connections that carry nothing are closed and answers end theirs, us: until then
    * clients are served on the connections that they keep, as they have no other way here. Harm: what comes in
    * the last moments is refused. */
-  private static final long PARTING_US = 50_000;
+  private static final long DRAIN_US = 50_000;
 
   /** How long an ending process waits for its last log lines to be taken, ms. */
   private static final long LOG_FLUSH_MS = 50;
@@ -213,7 +213,7 @@
       long answeredAfter = answeredAfterUs(longest);
       log.event("node.stopping", "open", desk.open());
       desk.stopping(clock.now() + answeredAfter);
-      loop.schedule(this::part, partsAfterUs(longest), TimeUnit.MICROSECONDS);
+      loop.schedule(this::drain, drainsAfterUs(longest), TimeUnit.MICROSECONDS);
     });
   }
 
@@ -224,13 +224,13 @@
   }
 
   /** Until when clients are served on the connections that they keep, us from SIGTERM. */
-  static long partsAfterUs(long longest) {
-    return answeredAfterUs(longest) - PARTING_US;
+  static long drainsAfterUs(long longest) {
+    return answeredAfterUs(longest) - DRAIN_US;
   }
 
   /** Goes to the last part of the end at once: nothing more is taken. */
-  void partNow() {
-    loop.execute(this::part);
+  void drainNow() {
+    loop.execute(this::drain);
   }
 
   /** Connections of clients. */
@@ -238,8 +238,8 @@
     return front.connections();
   }
 
-  private void part() {
-    front.part();
+  private void drain() {
+    front.drain();
     loop.scheduleAtFixedRate(log.guarded(this::endIfDone), 0, 10, TimeUnit.MILLISECONDS);
   }
 
