The administration API no longer changes clear connections over to HTTP/2

Cause: such clients offer HTTP/2 with their first request; in the change-over the answer is lost now and then, and the server's time for a quiet connection ends it. Change: the server does not take the offer (AdminServer.options); it answers by HTTP/1.1.

--- a/src/main/java/hollyslip/admin/AdminServer.java
+++ b/src/main/java/hollyslip/admin/AdminServer.java
@@ -120,7 +120,10 @@
   }
 
   private static HttpServerOptions options() {
-    return new HttpServerOptions().setIdleTimeout(QUIET_MS)
+    // A client that changes a clear connection over to HTTP/2 with its first request may never see the
+    // answer.
+    return new HttpServerOptions().setHttp2ClearTextEnabled(false)
+        .setIdleTimeout(QUIET_MS)
         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
         .setMaxInitialLineLength(4096)
         .setMaxHeaderSize(8192);
--- a/src/test/java/hollyslip/admin/AdminTest.java
+++ b/src/test/java/hollyslip/admin/AdminTest.java
@@ -22,6 +22,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.security.KeyStore;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -32,6 +33,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -286,6 +288,24 @@
     assertEquals(401, call(token, "GET", "/v1/tenants/lee", null).status);
   }
 
+  /** Clients that offer HTTP/2 with their first request, as the JDK's do: some waited for ever on a
+   * connection that had changed over to it. */
+  @Test
+  void clientsThatOfferHttp2AreAnswered() {
+    URI uri = URI.create("http://127.0.0.1:" + server.port() + "/openapi.json");
+    IntStream.range(0, 200).parallel().forEach(i -> {
+      HttpRequest request = HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(20)).build();
+      try {
+        HttpResponse<String> response = HttpClient.newHttpClient()
+            .send(request, HttpResponse.BodyHandlers.ofString());
+        assertEquals(200, response.statusCode());
+        assertEquals(HttpClient.Version.HTTP_1_1, response.version());
+      } catch (IOException | InterruptedException e) {
+        throw new IllegalStateException("client " + i, e);
+      }
+    });
+  }
+
   /** The description and the code name the same routes. */
   @Test
   void theDescriptionIsThatOfTheCode() {
