--- a/review/src/HalfRequests.java
+++ b/review/src/HalfRequests.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 1: some hundreds of clients write a long record each, get their answer, and stop in the middle of
+/** Case 2: some hundreds of clients write a long record each, get their answer, and stop in the middle of
  * their next request. Without trouble they send that request whole. */
 final class HalfRequests {
-  private static final int STOPPING_CLIENTS = 450, BODY_BYTES = 60_000;
+  private static final int STOPPING_CLIENTS = 600, BODY_BYTES = 60_000;
 
   public static void main(String[] args) throws Exception {
     Rig.openRecord(Path.of(args[0]));
@@ -40,10 +40,10 @@
     Rig.sleep(3);
     List<Thread> stopping = new ArrayList<>();
     AtomicInteger endedInTime = new AtomicInteger(), notEnded = new AtomicInteger();
-    double meet = Rig.now() + 2.0;
+    double meet = Rig.now() + 1.9;
     for (int i = 0; i < STOPPING_CLIENTS; i++) {
       stopping.add(Rig.daemon("stopping client", () -> stopInTheMiddle(scheduler, meet, endedInTime, notEnded)));
-      Rig.sleep(0.003);
+      Rig.sleep(0.002);
     }
     Rig.sleep(9);
     usual.stop();
