Keep received bytes on the heap, and only those that wait for more

Cause: each read was made into a direct buffer of up to 64 KiB, and the decoder kept that buffer for the few bytes of the next request that came with or after it. 384 such buffers are all of MaxDirectMemorySize=24m; from then on every read of any connection slept half a second in java.nio.Bits.reserveMemory on the event loop, so the timeouts that free the buffers did not run either.

Change: clients, disk servers and discovery are read into heap buffers, so that direct memory holds only the JDK's transfer buffers, one read or write at a time. What a decoder keeps is cut to its size (a head is 8 KiB at most), the same for answers of disk servers; a head that is not valid keeps nothing while its connection lingers.

--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -88,6 +88,8 @@
         .option(ChannelOption.MAX_MESSAGES_PER_READ, MAX_ACCEPTS_PER_READ)
         .handler(new AcceptHandler())
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.ALLOCATOR, ReceiveBuffers.ALLOCATOR)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.RECEIVE_ALLOCATOR)
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
--- a/src/main/java/hollyslip/platform/DiscoveryClient.java
+++ b/src/main/java/hollyslip/platform/DiscoveryClient.java
@@ -140,6 +140,8 @@
     new Bootstrap().group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOCATOR, ReceiveBuffers.ALLOCATOR)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.RECEIVE_ALLOCATOR)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (WatchRetryPolicy.OVERDUE_LIFETIME_US / 1000))
         .handler(new ChannelInitializer<Channel>() {
           @Override
--- a/src/main/java/hollyslip/platform/DiskConnectionPool.java
+++ b/src/main/java/hollyslip/platform/DiskConnectionPool.java
@@ -68,6 +68,8 @@
     bootstrap = new Bootstrap().group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOCATOR, ReceiveBuffers.ALLOCATOR)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.RECEIVE_ALLOCATOR)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, this.connectTimeoutUs / 1000))
         .handler(new ChannelInitializer<Channel>() {
           @Override
--- a/src/main/java/hollyslip/platform/RequestDecoder.java
+++ b/src/main/java/hollyslip/platform/RequestDecoder.java
@@ -18,19 +18,24 @@
     super(HttpSupport.strictDecoderConfig());
   }
 
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    try {
+      super.channelRead(ctx, message);
+    } finally {
+      ReceiveBuffers.trim(internalBuffer());
+    }
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
     if (awaitingHead) {
       if (!in.isReadable()) {
         return;
       }
-      int length = headValidator.completeHeadLength(in);
-      if (length < 0) {
+      if (!hasCompleteHead(in)) {
         return;
       }
-      if (!HttpHeadValidator.isTokenChar(in.getByte(in.readerIndex()))) {
-        throw new IllegalArgumentException("request line does not start with a method");
-      }
       awaitingHead = false;
     }
     int decodedBefore = out.size();
@@ -38,6 +43,23 @@
     awaitingHead = out.size() > decodedBefore && out.get(out.size() - 1) instanceof LastHttpContent;
   }
 
+  /** Whether a whole and valid head has arrived. The bytes of an invalid one are dropped, as they would be
+   * kept until the connection closes. */
+  private boolean hasCompleteHead(ByteBuf in) {
+    try {
+      if (headValidator.completeHeadLength(in) < 0) {
+        return false;
+      }
+      if (!HttpHeadValidator.isTokenChar(in.getByte(in.readerIndex()))) {
+        throw new IllegalArgumentException("request line does not start with a method");
+      }
+      return true;
+    } catch (IllegalArgumentException invalid) {
+      in.skipBytes(in.readableBytes());
+      throw invalid;
+    }
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     HttpSupport.rejectLengthWithTransferEncoding();
--- a/src/main/java/hollyslip/platform/StrictResponseDecoder.java
+++ b/src/main/java/hollyslip/platform/StrictResponseDecoder.java
@@ -20,6 +20,15 @@
     super(HttpSupport.strictDecoderConfig());
   }
 
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    try {
+      super.channelRead(ctx, message);
+    } finally {
+      ReceiveBuffers.trim(internalBuffer());
+    }
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
     if (awaitingHead) {
