Count partly received bodies and unread responses against limits

Callers would see: 60 clients that take 3 MiB answers and read nothing end the process (its heap is 64 MB), and every request it has taken is lost with it.

Cause: only bodies of whole requests and parts of disk servers' answers were counted. A body that is not whole yet, and a whole answer that its client does not read, were bounded by the number of connections alone: 47 MiB of bodies at 1,024 descriptors, and answers without any bound. A disk server's declared length took up to 512 KiB before its first byte.

Change: ByteBudget holds a limit, BudgetedBuffer allocates against it what has really come. Bodies count from their first byte; if there is no room, requests whose clients have sent nothing for 0.5 s are ended with a 408, longest first, and else the newcomer gets a 503. An answer that finds no room becomes a 502.

--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -13,7 +13,8 @@
  * @param disks
  *          limit of connections to disk servers, including those being established
  * @param bytes
- *          limit of bytes of buffered request bodies; the same applies to incomplete responses */
+ *          limit of bytes of request bodies, partial ones included; the same applies to incomplete responses
+ *          of disk servers and to responses that clients have not read */
 record Bounds(int clients, int idleClients, int disks, long bytes) {
   /** File descriptors reserved for the old and new connection to discovery, and for files opened
    * occasionally. */
--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -70,7 +70,7 @@
   /** Estimated arrival of the bytes being read, and of bytes received before the connection was accepted,
    * us. */
   private long arrivedAt, queuedSince;
-  private long idleSince, writeStartedAt = -1;
+  private long idleSince, lastReceivedAt, writeStartedAt = -1;
   /** Since when a partial request has been present or the first request has been awaited; -1: neither. */
   private long partialRequestSince;
   /** Total bytes read, and how many of them were discarded. */
@@ -162,6 +162,16 @@
     }
   }
 
+  /** Bytes of memory that a partly received body takes. */
+  int partialBodyBytes() {
+    return assembler.bufferedBytes();
+  }
+
+  /** When bytes were last received, us. */
+  long lastReceivedAt() {
+    return lastReceivedAt;
+  }
+
   /** Stops waiting for a first request or for the rest of a partial one. */
   void endPartialRequest() {
     if (!state.acceptsRequests()) {
@@ -199,13 +209,14 @@
   /** Reserves a queue slot and buffer space for a request; returns false if there is no room. */
   private boolean tryReserveQueueSlot(InboundRequest item) {
     return queued.size() < MAX_QUEUED_REQUESTS && manager.dispatcher()
-        .tryReserveBuffer(QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length);
+        .requestBytes()
+        .tryReserve(QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length);
   }
 
   private InboundRequest dequeue() {
     InboundRequest item = queued.poll();
     if (item.isRequest()) {
-      manager.dispatcher().releaseBuffer(QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length);
+      manager.dispatcher().requestBytes().release(QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length);
     }
     if (queued.size() == RESUME_PENDING_RESPONSES && state.sendsResponses()) {
       channel.config().setAutoRead(true);
@@ -288,12 +299,17 @@
     }
   }
 
-  /** Writes one response.
+  /** Writes one response; only that the request failed if there is no room for its body.
    *
    * @param closeAfterResponse
    *          whether the client asked to close the connection after it */
   private void writeResponse(HttpResponseStatus status, byte[] body, long retryAfterUs,
       boolean closeAfterResponse) {
+    if (body.length > 0 && !manager.unsentBytes().tryReserve(body.length)) {
+      manager.log().event("response.no-space", "bytes", body.length, "client", channel.remoteAddress());
+      writeResponse(HttpResponseStatus.BAD_GATEWAY, EMPTY_BODY, 0, closeAfterResponse);
+      return;
+    }
     if (state == State.OPEN && (closeAfterResponse || manager.draining())) {
       state = State.ENDING;
     }
@@ -304,6 +320,7 @@
     channel.writeAndFlush(body.length == 0
         ? head
         : Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(body))).addListener(f -> {
+          manager.unsentBytes().release(body.length);
           writeStartedAt = -1;
           idleSince = manager.now();
           if (!f.isSuccess()) {
@@ -380,6 +397,7 @@
           ? Math.min(queuedSince, readAt)
           : manager.arrivalTimes().earliestArrival(readAt);
       bytesRead += count;
+      lastReceivedAt = readAt;
       if (!state.acceptsRequests()) {
         discard(message, count);
         return;
--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -34,6 +34,10 @@
    * not complete in time it is due sooner, as the time spent waiting for it counts too. */
   static final long ERROR_RESPONSE_DEADLINE_US = 2_000_000, TIMEOUT_RESPONSE_DEADLINE_US = 300_000;
 
+  /** How long a client must have sent nothing of a request's body before the request may be ended to make
+   * room for others, us. */
+  static final long MIN_STALL_BEFORE_EVICTION_US = 500_000;
+
   /** How long a client that was told to close its connection may still send on it, us. */
   static final long CLOSE_GRACE_US = 60_000;
 
@@ -60,6 +64,8 @@
   private final RequestDispatcher dispatcher;
   private final RequestHead.Parser headParser;
   private final int maxConnections, maxIdleConnections;
+  /** Limits the bytes of responses that the operating system has not taken yet. */
+  private final ByteBudget unsentBytes;
   private final Set<ClientConnection> openConnections = new LinkedHashSet<>();
   private final ArrivalTimeEstimator arrivalTimes;
   private Channel listener;
@@ -74,6 +80,8 @@
     this.log = log;
     this.dispatcher = dispatcher;
     this.headParser = headParser;
+    unsentBytes = new ByteBudget(bounds.bytes());
+    dispatcher.requestBytes().onShortage(this::endStalledRequests);
     maxConnections = bounds.clients();
     maxIdleConnections = bounds.idleClients();
     arrivalTimes = new ArrivalTimeEstimator(clock.now());
@@ -167,6 +175,10 @@
     return dispatcher;
   }
 
+  ByteBudget unsentBytes() {
+    return unsentBytes;
+  }
+
   RequestHead.Parser headParser() {
     return headParser;
   }
@@ -277,6 +289,21 @@
     }
   }
 
+  /** Ends partly received requests whose clients have stopped sending, longest first, until there is room for
+   * this many more bytes of requests. */
+  private void endStalledRequests(long bytes) {
+    long stalledBefore = now() - MIN_STALL_BEFORE_EVICTION_US;
+    openConnections.stream()
+        .filter(c -> c.partialBodyBytes() > 0 && c.lastReceivedAt() <= stalledBefore)
+        .sorted(Comparator.comparingLong(ClientConnection::lastReceivedAt))
+        .toList()
+        .forEach(c -> {
+          if (!dispatcher.requestBytes().hasRoom(bytes)) {
+            c.endPartialRequest();
+          }
+        });
+  }
+
   private void sweep() {
     long now = now();
     List.copyOf(openConnections).forEach(c -> c.checkTimeouts(now));
--- a/src/main/java/hollyslip/platform/DiskConnection.java
+++ b/src/main/java/hollyslip/platform/DiskConnection.java
@@ -1,9 +1,6 @@
 package hollyslip.platform;
 
 import hollyslip.HostScheduler.Result;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -23,6 +20,9 @@
   /** Limit of 1xx responses before the final response. */
   private static final int MAX_INTERIM_RESPONSES = 8;
 
+  /** Largest declared length of a response for which memory is allocated at once, bytes. */
+  private static final int MAX_EXPECTED_BODY_BYTES = 512 << 10;
+
   final DiskServer server;
   /** The address it was connected to; the disk server may have moved since. */
   final InetSocketAddress address;
@@ -37,7 +37,7 @@
   private boolean usedBefore;
   private Call call;
   private HttpResponse responseHead;
-  private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
+  private BudgetedBuffer responseBody;
   private int interimResponses;
   /** The response's head or its chunks mark where it ends, rather than the end of the connection. */
   private boolean selfDelimited;
@@ -48,6 +48,7 @@
     this.address = address;
     this.channel = channel;
     this.pool = pool;
+    responseBody = new BudgetedBuffer(pool.responseBytes(), 0);
   }
 
   /** Called once the channel is connected. */
@@ -75,7 +76,7 @@
     usedBefore = true;
     responseHead = null;
     interimResponses = 0;
-    releaseBody();
+    responseBody.release();
     channel.writeAndFlush(newCall.requestEncoder.apply(newCall.timeoutAt - pool.now())).addListener(f -> {
       if (f.isSuccess()) {
         newCall.written = true;
@@ -91,7 +92,7 @@
       return;
     }
     closed = true;
-    releaseBody();
+    responseBody.release();
     channel.close();
     Call endedCall = call;
     call = null;
@@ -112,12 +113,6 @@
     close();
   }
 
-  private void releaseBody() {
-    pool.releaseBuffer(responseBody.readableBytes());
-    responseBody.release();
-    responseBody = Unpooled.EMPTY_BUFFER;
-  }
-
   /** Ends the call because its response is unusable; the request may have run. */
   private void failInvalidResponse(String reason) {
     Call endedCall = call;
@@ -153,8 +148,7 @@
     // it, as exceptionCaught is called first.
     selfDelimited = transferCoded || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     // The buffer starts small and grows as data arrives: an announced length alone must not take memory.
-    responseBody = Unpooled.buffer((int) Math.max(64, Math.min(length, 8 * Bounds.MAX_REQUEST_BODY_BYTES)),
-        Bounds.MAX_RESPONSE_BODY_BYTES);
+    responseBody = new BudgetedBuffer(pool.responseBytes(), (int) Math.min(length, MAX_EXPECTED_BODY_BYTES));
   }
 
   private void onContent(HttpContent content) {
@@ -162,14 +156,11 @@
       failInvalidResponse("body");
     } else if (responseHead != null) {
       int received = content.content().readableBytes();
-      if (responseBody.readableBytes() + received > Bounds.MAX_RESPONSE_BODY_BYTES || !pool.tryReserveBuffer(
-          received)) {
-        failInvalidResponse("no buffer space for " + (responseBody.readableBytes() + received) + " bytes");
-      } else {
-        responseBody.writeBytes(content.content());
-        if (content instanceof LastHttpContent) {
-          onComplete();
-        }
+      if (responseBody.size() + received > Bounds.MAX_RESPONSE_BODY_BYTES || !responseBody.append(content
+          .content())) {
+        failInvalidResponse("no buffer space for " + (responseBody.size() + received) + " bytes");
+      } else if (content instanceof LastHttpContent) {
+        onComplete();
       }
     }
   }
@@ -178,10 +169,8 @@
   private void onComplete() {
     Call endedCall = call;
     HttpResponse response = responseHead;
-    boolean exactArray = responseBody.hasArray() && responseBody.arrayOffset() == 0 && responseBody
-        .readableBytes() == responseBody.array().length;
-    byte[] bytes = exactArray ? responseBody.array() : ByteBufUtil.getBytes(responseBody);
-    releaseBody();
+    byte[] bytes = responseBody.toByteArray();
+    responseBody.release();
     call = null;
     responseHead = null;
     boolean reusable = selfDelimited && endedCall.written && decoder.unreadBytes() == 0 && !response.headers()
--- a/src/main/java/hollyslip/platform/DiskConnectionPool.java
+++ b/src/main/java/hollyslip/platform/DiskConnectionPool.java
@@ -42,25 +42,24 @@
   private int connecting;
   private boolean startingWaitingCalls;
   private final AdaptiveIdleTimeout idleTimeout;
-  /** Bytes buffered of incomplete responses, and their limit. */
-  private long bufferedBytes;
-  private final long maxBufferedBytes;
+  /** Limits the bytes buffered of incomplete responses. */
+  private final ByteBudget responseBytes;
 
   /** @param maxConnections
    *          limit of open connections, including those being established
-   * @param maxBufferedBytes
-   *          limit of bytes buffered of incomplete responses
+   * @param responseBytes
+   *          limits the bytes buffered of incomplete responses
    * @param connectTimeoutUs
    *          connect timeout; 1 s if not positive
    * @param diskIdleTimeoutUs
    *          disk servers close connections that were idle for this long; 0: never */
   DiskConnectionPool(EventLoop loop, MonotonicClock clock, EventLog log, int maxConnections,
-      long maxBufferedBytes, long connectTimeoutUs, long diskIdleTimeoutUs) {
+      ByteBudget responseBytes, long connectTimeoutUs, long diskIdleTimeoutUs) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.maxConnections = maxConnections;
-    this.maxBufferedBytes = maxBufferedBytes;
+    this.responseBytes = responseBytes;
     this.connectTimeoutUs = connectTimeoutUs > 0 ? connectTimeoutUs : 1_000_000;
     // Stays a tenth below the peer's timeout: a request could be in transit when the peer closes.
     long maxIdleUs = diskIdleTimeoutUs > 0 ? diskIdleTimeoutUs - diskIdleTimeoutUs / 10 : Long.MAX_VALUE;
@@ -282,17 +281,9 @@
     startingWaitingCalls = false;
   }
 
-  /** Reserves buffer space for more bytes of a response; returns false if there is too little. */
-  boolean tryReserveBuffer(int bytes) {
-    if (bufferedBytes + bytes > maxBufferedBytes) {
-      return false;
-    }
-    bufferedBytes += bytes;
-    return true;
-  }
-
-  void releaseBuffer(int bytes) {
-    bufferedBytes -= bytes;
+  /** The budget for bytes of incomplete responses. */
+  ByteBudget responseBytes() {
+    return responseBytes;
   }
 
   void onInvalidResponse(DiskServer server, String reason) {
--- a/src/main/java/hollyslip/platform/RequestAssembler.java
+++ b/src/main/java/hollyslip/platform/RequestAssembler.java
@@ -1,8 +1,5 @@
 package hollyslip.platform;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -14,8 +11,6 @@
 
 /** Assembles the requests of one connection from the parts that the codec decodes: head, body, end. */
 final class RequestAssembler {
-  private static final byte[] EMPTY_BODY = {};
-
   /** Thrown when the start of the next request is unknown, so that the connection cannot be used further. */
   static final class FramingException extends Exception {
     final HttpResponseStatus status;
@@ -31,12 +26,18 @@
   /** Head of the current request, or the error to respond with, and the body received so far. */
   private RequestHead head;
   private HttpResponseStatus errorStatus;
-  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private final BudgetedBuffer body;
   private boolean closeAfterResponse;
 
   RequestAssembler(ClientConnectionManager manager, Channel channel) {
     this.manager = manager;
     this.channel = channel;
+    body = new BudgetedBuffer(manager.dispatcher().requestBytes(), 0);
+  }
+
+  /** Bytes of memory that the partly received body takes. */
+  int bufferedBytes() {
+    return body.capacity();
   }
 
   /** Starts a request from its head. {@code first} means that no earlier response is pending on the
@@ -58,18 +59,24 @@
       reject(e);
       return;
     }
-    if (!manager.dispatcher().hasBufferSpace(Math.max(0, head.bodyLength()))) {
-      head = null;
-      errorStatus = HttpResponseStatus.SERVICE_UNAVAILABLE;
-    } else if (head.bodyLength() != 0) {
-      // Grows with the bytes received: a declared length alone must not allocate memory.
-      body = Unpooled.buffer(1024, Bounds.MAX_REQUEST_BODY_BYTES);
-      if (first && request.headers().containsValue(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true)) {
-        channel.writeAndFlush(HttpSupport.latin1Bytes("HTTP/1.1 100 Continue\r\n\r\n"));
-      }
+    if (!manager.dispatcher().requestBytes().ensureRoom(Math.max(0, head.bodyLength()))) {
+      rejectForLackOfSpace();
+    } else if (head.bodyLength() != 0 && first && request.headers()
+        .containsValue(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true)) {
+      channel.writeAndFlush(HttpSupport.latin1Bytes("HTTP/1.1 100 Continue\r\n\r\n"));
     }
   }
 
+  /** Rejects the request; the rest of its body is not kept. */
+  private void rejectForLackOfSpace() {
+    manager.log()
+        .event("request.no-space", "id", head.transactionId(), "held", manager.dispatcher()
+            .requestBytes()
+            .used(), "client", channel.remoteAddress());
+    reset();
+    errorStatus = HttpResponseStatus.SERVICE_UNAVAILABLE;
+  }
+
   private void reject(RequestHead.RequestRejectedException e) throws FramingException {
     manager.log().event("request.bad", "reason", e.getMessage(), "client", channel.remoteAddress());
     if (e.framingLost) {
@@ -85,10 +92,12 @@
     }
     int length = content.content().readableBytes();
     if (head != null && length > 0) {
-      if (body.readableBytes() + length > Bounds.MAX_REQUEST_BODY_BYTES) {
+      if (body.size() + length > Bounds.MAX_REQUEST_BODY_BYTES) {
         throw new FramingException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       }
-      body.writeBytes(content.content());
+      if (!body.append(content.content())) {
+        rejectForLackOfSpace();
+      }
     }
     if (!(content instanceof LastHttpContent)) {
       return null;
@@ -102,12 +111,12 @@
   }
 
   private InboundRequest completeRequest(long receivedAt) {
-    if (!head.write() && body.isReadable()) {
+    if (!head.write() && body.size() > 0) {
       manager.log().event("request.bad", "reason", "body of a read", "client", channel.remoteAddress());
       return InboundRequest.rejected(HttpResponseStatus.BAD_REQUEST, receivedAt
           + ClientConnectionManager.ERROR_RESPONSE_DEADLINE_US, closeAfterResponse);
     }
-    byte[] bytes = body.isReadable() ? ByteBufUtil.getBytes(body) : EMPTY_BODY;
+    byte[] bytes = body.toByteArray();
     return new InboundRequest(head, bytes, receivedAt, manager.dispatcher()
         .responseDeadline(head, receivedAt), null, closeAfterResponse);
   }
@@ -117,6 +126,5 @@
     head = null;
     errorStatus = null;
     body.release();
-    body = Unpooled.EMPTY_BUFFER;
   }
 }
--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -43,7 +43,8 @@
   private final EventLog log;
   private final DiskConnectionPool diskPool;
   private final LoadReportParser reportParser;
-  private final long maxBufferedBytes;
+  /** Limits the bytes of requests: partly received, queued and open ones. */
+  private final ByteBudget requestBytes;
   private final Map<String, Exchange> byTransactionId = new HashMap<>();
   private final Map<Long, Exchange> byRequestId = new HashMap<>();
   private final Map<Long, Map<Integer, Call>> callsByRequest = new HashMap<>();
@@ -54,18 +55,18 @@
   private DiskServerTrace trace;
   /** Whether {@link #handleEvents} is already queued on the event loop. */
   private boolean handlingScheduled;
-  private long lastRequestId, lastNodeId, bufferedBytes;
+  private long lastRequestId, lastNodeId;
   private long shutdownDeadline = Long.MAX_VALUE;
 
   RequestDispatcher(HostScheduler scheduler, Settings settings, EventLoop loop, MonotonicClock clock,
-      EventLog log, DiskConnectionPool diskPool, long maxBufferedBytes) {
+      EventLog log, DiskConnectionPool diskPool, ByteBudget requestBytes) {
     this.scheduler = scheduler;
     this.settings = settings;
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.diskPool = diskPool;
-    this.maxBufferedBytes = maxBufferedBytes;
+    this.requestBytes = requestBytes;
     reportParser = new LoadReportParser(settings);
   }
 
@@ -74,23 +75,9 @@
     return byTransactionId.containsKey(transactionId);
   }
 
-  /** Whether the buffer has space for this many more bytes. */
-  boolean hasBufferSpace(int length) {
-    return bufferedBytes + length <= maxBufferedBytes;
-  }
-
-  /** Reserves buffer space for a queued request; returns false if there is too little. */
-  boolean tryReserveBuffer(int length) {
-    if (!hasBufferSpace(length)) {
-      return false;
-    }
-    bufferedBytes += length;
-    return true;
-  }
-
-  /** Releases buffer space reserved by {@link #tryReserveBuffer}. */
-  void releaseBuffer(int length) {
-    bufferedBytes -= length;
+  /** The budget for bytes of requests. */
+  ByteBudget requestBytes() {
+    return requestBytes;
   }
 
   /** Number of requests that await their response or the end of an attempt. */
@@ -124,7 +111,7 @@
     Exchange exchange = new Exchange(head, body, ++lastRequestId, clock.now(), deadline, responder);
     byTransactionId.put(head.transactionId(), exchange);
     byRequestId.put(exchange.requestId, exchange);
-    bufferedBytes += body.length;
+    requestBytes.reserve(body.length);
     post(new HostScheduler.Request(exchange.requestId, head.className(), head.plan(), head.objectKey(),
         head.volumePlanId(), head.units(), head.shard(), head.hosts(), exchange.deadline() - clock.now(),
         head.clientRetry()));
@@ -369,7 +356,7 @@
     if (exchange.completed() && exchange.attemptsOutstanding == 0 && byRequestId.remove(
         exchange.requestId) != null) {
       byTransactionId.remove(exchange.head.transactionId(), exchange);
-      bufferedBytes -= exchange.body.length;
+      requestBytes.release(exchange.body.length);
     }
   }
 
--- a/src/main/java/hollyslip/platform/SchedulerProcess.java
+++ b/src/main/java/hollyslip/platform/SchedulerProcess.java
@@ -74,11 +74,11 @@
     loop = (EventLoop) group.next();
     Bounds bounds = Bounds.of(configuration.maxDescriptors(), Bounds.openDescriptors(),
         configuration.memoryMb());
-    diskPool = new DiskConnectionPool(loop, clock, log, bounds.disks(), bounds.bytes(),
+    diskPool = new DiskConnectionPool(loop, clock, log, bounds.disks(), new ByteBudget(bounds.bytes()),
         configuration.settings().allowed().connectTimeoutUs(), configuration.diskIdleTimeoutUs());
     TokenBorrowingScheduler scheduler = new TokenBorrowingScheduler(configuration.settings());
     dispatcher = new RequestDispatcher(scheduler, configuration.settings(), loop, clock, log, diskPool,
-        bounds.bytes());
+        new ByteBudget(bounds.bytes()));
     connectionManager = new ClientConnectionManager(loop, clock, log, dispatcher,
         new RequestHead.Parser(configuration.settings(), configuration.shardCount()), bounds);
     long version = configuration.knownEndpoints() == null ? -1 : configuration.knownEndpoints().version();
--- a/src/test/java/hollyslip/platform/CallTest.java
+++ b/src/test/java/hollyslip/platform/CallTest.java
@@ -39,8 +39,7 @@
 
   private DiskConnectionPool pool(int maxConnections, long connectTimeoutUs) {
     return new DiskConnectionPool((EventLoop) group.next(), clock, new EventLog(System.out), maxConnections,
-        1 << 20,
-        connectTimeoutUs, 0);
+        new ByteBudget(1 << 20), connectTimeoutUs, 0);
   }
 
   private static DiskServer serverAt(InetSocketAddress address) {
--- a/src/test/java/hollyslip/platform/RequestDispatcherTest.java
+++ b/src/test/java/hollyslip/platform/RequestDispatcherTest.java
@@ -37,9 +37,10 @@
    * more than half a second after the request's deadline. */
   private String respondTo(HostScheduler scheduler) throws Exception {
     Settings settings = JsonSettingsParser.parse(5, new ObjectMapper().readTree(SchedulerFixture.SETTINGS));
-    DiskConnectionPool disks = new DiskConnectionPool(loop, clock, log, 10, 1 << 20, 1_000_000, 0);
+    DiskConnectionPool disks = new DiskConnectionPool(loop, clock, log, 10, new ByteBudget(1 << 20),
+        1_000_000, 0);
     RequestDispatcher dispatcher = new RequestDispatcher(scheduler, settings, loop, clock, log, disks,
-        1 << 20);
+        new ByteBudget(1 << 20));
     CompletableFuture<String> response = new CompletableFuture<>();
     RequestHead head = new RequestHead("t1", "GET", "/get/0", "get", "gold", 0, null, REQUEST_TIMEOUT_US, 1,
         1, 0, 1, false,
--- a/src/test/java/hollyslip/platform/SchedulerFixture.java
+++ b/src/test/java/hollyslip/platform/SchedulerFixture.java
@@ -27,19 +27,30 @@
        "extra":{"unitMean":2,"mostUnits":6,"nShards":3,"changesData":[false,true,true]},
        "stats":{"how":"answers","names":["recent_ms"]}}""";
 
-  private static final int FREE_SOCKETS = 200;
+  private static final int FREE_SOCKETS = 200, DEFAULT_MEMORY_MB = 192;
 
   final ScriptedServer diskServer = new ScriptedServer(), discovery = new ScriptedServer();
   final Path configFile;
   final SchedulerProcess node;
   final ByteArrayOutputStream log = new ByteArrayOutputStream();
+  private final int memoryMb;
 
   /** The scheduler waits for the discovery of a test for as long as the test may take on a busy machine. */
   SchedulerFixture() throws IOException, InterruptedException {
-    this(new WatchRetryPolicy(WatchRetryPolicy.SILENCE_TIMEOUT_US, 20_000_000));
+    this(DEFAULT_MEMORY_MB);
+  }
+
+  /** With a limit of memory, from which the limits of buffered bytes follow. */
+  SchedulerFixture(int memoryMb) throws IOException, InterruptedException {
+    this(memoryMb, new WatchRetryPolicy(WatchRetryPolicy.SILENCE_TIMEOUT_US, 20_000_000));
   }
 
   SchedulerFixture(WatchRetryPolicy times) throws IOException, InterruptedException {
+    this(DEFAULT_MEMORY_MB, times);
+  }
+
+  private SchedulerFixture(int memoryMb, WatchRetryPolicy times) throws IOException, InterruptedException {
+    this.memoryMb = memoryMb;
     configFile = Files.createTempFile("platform", ".json");
     writeConfig(discovery);
     node = new SchedulerProcess(Map.of("PROXY_CONFIG", configFile.toString()), new PrintStream(log, true),
@@ -51,7 +62,8 @@
     int sockets = Bounds.openDescriptors() + FREE_SOCKETS;
     Files.writeString(configFile, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
         + discoveryServer.address()
-        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
+        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb
+        + ",\"sockets\":"
         + sockets + "},"
         + "\"known\":" + nodeListJson(41, true, nodeEntryJson("s-0", diskServer, 0, "up")) + ",\"settings\":"
         + SETTINGS + "}");
--- a/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
+++ b/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
@@ -131,6 +131,14 @@
     return new Socket(address.getAddress(), address.getPort());
   }
 
+  /** A plain connection whose operating system keeps few unread bytes. */
+  Socket connect(int receiveBufferBytes) throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(receiveBufferBytes);
+    socket.connect(address);
+    return socket;
+  }
+
   /** Sends a signal, named as for {@code kill}. */
   void signal(String name) throws IOException, InterruptedException {
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
