Node ids stand for one node; requests go only to holders of their shard

A row that kept its place and got another port: writes answered as served by the former address 2 s after the change.

Cause: a row without an id was numbered by its place, and the module's nodes, connections, fences and observed starts are kept by that number. When a row goes, each number behind it means another node; with a new port, connections to the former one stay.

Change: fleet.NodeIds numbers identities (name, host, port, zone, shard) and never gives a number to a second one. NodePool's addresses no longer change under a number; it closes connections of nodes that left once nothing waits on them, sends nothing to a node that holds another shard, and counts serials of fences by address, as a server may be known by two numbers in a row. An unresolved write at a server that is listed under another name is fenced before it counts as resolved.

--- a/src/main/java/hollyslip/gateway/Gateway.java
+++ b/src/main/java/hollyslip/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import hollyslip.engine.Engine;
 import hollyslip.engine.EngineLanes;
 import hollyslip.fleet.Membership;
+import hollyslip.fleet.NodeIds;
 import hollyslip.front.sftp.SftpServer;
 import hollyslip.front.vhost.Acceptor;
 import hollyslip.front.vhost.VhostServer;
@@ -71,6 +72,8 @@
   private final CompletableFuture<Void> superseded = new CompletableFuture<>();
   private volatile Holder holder;
   private CompletableFuture<Void> stopping;
+  private final NodeIds nodeIds = new NodeIds();
+  /** The node list in use, with the ids of {@link #nodeIds}. */
   private volatile List<Deployment.Node> currentNodes;
 
   /** First ID of hosted tenants and volumes; volumes in the settings have lower IDs. */
@@ -90,7 +93,7 @@
    *           if, among other reasons, another gateway with this name is alive or uses the state directory */
   public Gateway(Deployment deployment, boolean takeOver) throws IOException {
     this.deployment = deployment;
-    currentNodes = deployment.nodes();
+    currentNodes = assignIds(deployment.nodes());
     Deployment.GatewayConfig process = deployment.gateway();
     epochStore = new EpochStore(process.stateDir());
     holder = takeEpoch(takeOver);
@@ -104,12 +107,12 @@
                   .orderSettleUs()),
           serials, deployment.schedulerSettings().reportFields(), new MembershipUpdater(), process
               .ioThreads());
-      pool.updateAddresses(nodeAddresses(deployment));
+      pool.updateAddresses(nodeAddresses(currentNodes));
       lanes.lane(i).start(pool);
       pools.add(pool);
     }
     lanes.start();
-    membership.replaceAll(nodeEntries(deployment));
+    membership.replaceAll(nodeEntries(currentNodes));
     Files.createDirectories(process.socketDir());
     acceptor = new Acceptor();
     for (Volume volume : deployment.volumes()) {
@@ -195,7 +198,7 @@
   private Holder takeEpoch(boolean takeOver) throws IOException {
     String name = deployment.gateway().name();
     long recorded = epochStore.last();
-    Map<String, EpochElection.NodeView> views = NodeSurvey.queryHolders(nodeAddresses(deployment), name,
+    Map<String, EpochElection.NodeView> views = NodeSurvey.queryHolders(nodeAddresses(currentNodes), name,
         deployment
             .allowed()
             .connectTimeoutUs());
@@ -328,17 +331,23 @@
     return views;
   }
 
-  private static List<NodePool.Address> nodeAddresses(Deployment deployment) {
-    return deployment.nodes()
-        .stream()
+  /** Gives each node of a list the id that it keeps as long as it is the same node. */
+  private List<Deployment.Node> assignIds(List<Deployment.Node> nodes) {
+    return nodes.stream()
+        .map(node -> node.withId(nodeIds.assign(new NodeIds.Identity(node.name(), node.host(), node.port(),
+            node.zone(), node.shard()), node.id())))
+        .toList();
+  }
+
+  private static List<NodePool.Address> nodeAddresses(List<Deployment.Node> nodes) {
+    return nodes.stream()
         .map(node -> new NodePool.Address(node.id(), node.name(), new InetSocketAddress(node.host(), node
-            .port()), "shard-"
-                + node.shard()))
+            .port()), node.shard()))
         .toList();
   }
 
-  private static List<NodeEntry> nodeEntries(Deployment deployment) {
-    return deployment.nodes().stream().map(Deployment.Node::toNodeEntry).toList();
+  private static List<NodeEntry> nodeEntries(List<Deployment.Node> nodes) {
+    return nodes.stream().map(Deployment.Node::toNodeEntry).toList();
   }
 
   /** Passes events of the nodes through the membership to the scheduler. */
@@ -388,22 +397,23 @@
   }
 
   /** Replaces the node list; all other settings stay unchanged. */
-  public void replaceNodes(Deployment newDeployment) {
-    List<NodePool.Address> addresses = nodeAddresses(newDeployment);
+  public synchronized void replaceNodes(Deployment newDeployment) {
+    List<Deployment.Node> nodes = assignIds(newDeployment.nodes());
+    List<NodePool.Address> addresses = nodeAddresses(nodes);
     for (int i = 0; i < pools.size(); i++) {
       NodePool pool = pools.get(i);
       lanes.lane(i).execute(() -> pool.updateAddresses(addresses));
     }
     List<NodeEntry> before = membership.list();
-    currentNodes = newDeployment.nodes();
-    membership.replaceAll(nodeEntries(newDeployment));
+    currentNodes = nodes;
+    membership.replaceAll(nodeEntries(nodes));
     if (control != null) {
       // The node states set by administrators take precedence over the settings.
       control.read(records -> List.copyOf(records.nodes()))
           .thenAccept(recorded -> recorded.forEach(node -> setNodeState(node.node(), node.state())));
     }
     logNodeChanges(before);
-    LOG.atInfo().addKeyValue("nodes", newDeployment.nodes().size()).log("nodes.replaced");
+    LOG.atInfo().addKeyValue("nodes", nodes.size()).log("nodes.replaced");
   }
 
   /** Returns the socket path of a volume in the settings. */
--- a/src/main/java/hollyslip/node/NodePool.java
+++ b/src/main/java/hollyslip/node/NodePool.java
@@ -26,8 +26,13 @@
 public final class NodePool implements NodeTransport, NbdConnection.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(NodePool.class);
 
-  /** Address of a node; its export is named after its shard. */
-  public record Address(long node, String name, InetSocketAddress socketAddress, String export) {}
+  /** Address of a node and the shard whose data it holds. */
+  public record Address(long node, String name, InetSocketAddress socketAddress, int shard) {
+    /** Name of the export with the data of the shard. */
+    String export() {
+      return "shard-" + shard;
+    }
+  }
 
   /** Limits and identity of the pool.
    *
@@ -74,12 +79,25 @@
 
   /** A node with this gateway's connections to it. */
   private static final class Target {
-    Address address;
+    final Address address;
     final List<NbdConnection> connections = new ArrayList<>();
     /** Attempts that change data and may still run although their connection is closed, by the connection's
      * serial. */
     final Map<Long, List<Attempt>> unresolvedChanges = new LinkedHashMap<>();
     boolean listed = true;
+
+    Target(Address address) {
+      this.address = address;
+    }
+
+    /** Whether the server is known not to support fences. */
+    boolean withoutFences() {
+      return connections.stream().anyMatch(connection -> connection.isReady() && !connection.supportsFence());
+    }
+
+    boolean hasSameAddress(Target other) {
+      return address.socketAddress().equals(other.address.socketAddress());
+    }
   }
 
   /** @param serials
@@ -101,18 +119,45 @@
     });
   }
 
-  /** Sets the nodes' addresses; called on the engine's thread or before its start. A node that is no longer
-   * listed keeps its connections until they close. */
+  /** Sets the list of nodes; called on the engine's thread or before its start. A node that is no longer
+   * listed keeps its connections while attempts are in flight on them.
+   *
+   * @throws IllegalArgumentException
+   *           if an id had another address or shard before: its connections lead to that one */
   public void updateAddresses(List<Address> addresses) {
     Set<Long> listed = new TreeSet<>();
     for (Address address : addresses) {
-      targets.computeIfAbsent(address.node(), k -> new Target()).address = address;
+      Target target = targets.computeIfAbsent(address.node(), k -> new Target(address));
+      if (!target.address.equals(address)) {
+        throw new IllegalArgumentException("node " + address.node() + " is " + target.address + ", not "
+            + address);
+      }
       listed.add(address.node());
     }
     targets.forEach((node, target) -> {
       target.listed = listed.contains(node);
       if (!target.listed) {
         resolveAfterSettleTime(target);
+        closeWhenIdle(target);
+      }
+    });
+  }
+
+  /** Closes the connections to a node that is no longer listed once no attempt waits for an answer on them,
+   * and then forgets the node. */
+  private void closeWhenIdle(Target target) {
+    engine.schedule(limits.settleUs(), () -> {
+      if (target.listed || closing) {
+        return;
+      }
+      List.copyOf(target.connections)
+          .stream()
+          .filter(connection -> connection.activeCount() == 0)
+          .forEach(connection -> connection.disconnect("the node is no longer listed"));
+      if (target.connections.isEmpty() && target.unresolvedChanges.isEmpty()) {
+        targets.remove(target.address.node(), target);
+      } else {
+        closeWhenIdle(target);
       }
     });
   }
@@ -120,7 +165,17 @@
   @Override
   public void send(Attempt attempt) {
     Target target = targets.get(attempt.node());
-    if (target == null || target.address == null || closing) {
+    if (target == null || closing) {
+      engine.attemptEnded(attempt, Result.CONNECT_FAILED, null);
+      return;
+    }
+    if (target.address.shard() != attempt.shard()) {
+      // Data of another shard must never be read or overwritten, whatever went wrong before.
+      LOG.atError()
+          .addKeyValue("node", target.address.name())
+          .addKeyValue("holds", target.address.shard())
+          .addKeyValue("asked", attempt.shard())
+          .log("node.wrong-shard");
       engine.attemptEnded(attempt, Result.CONNECT_FAILED, null);
       return;
     }
@@ -164,7 +219,7 @@
   }
 
   private NbdConnection openConnection(Target target) {
-    Fence fence = serials.nextFence(target.address.node(), limits.client(), holder);
+    Fence fence = serials.nextFence(target.address.socketAddress(), limits.client(), holder);
     try {
       NbdConnection connection = new NbdConnection(group, target.address.node(), target.address.export(),
           fence, this);
@@ -177,7 +232,7 @@
       connection.connect(target.address.socketAddress());
       return connection;
     } catch (IOException e) {
-      serials.markClosed(target.address.node(), fence.serial());
+      serials.markClosed(target.address.socketAddress(), fence.serial());
       LOG.atWarn()
           .addKeyValue("node", target.address.name())
           .addKeyValue("why", e.getMessage())
@@ -269,18 +324,28 @@
       connection.removeQueued().forEach(attempt -> onAttemptEnded(attempt, Result.MOOT));
     }
     if (connection.supportsFence()) {
-      target.unresolvedChanges.entrySet().removeIf(entry -> {
-        boolean invalidated = entry.getKey() < connection.fence.serial() && !connection.fence.liveSerials()
-            .contains(entry.getKey());
-        if (invalidated) {
-          entry.getValue().forEach(engine::attemptResolved);
-        }
-        return invalidated;
-      });
+      targets.values()
+          .stream()
+          .filter(other -> other.hasSameAddress(target))
+          .toList()
+          .forEach(other -> resolveInvalidated(other, connection));
     }
     connection.flush();
   }
 
+  /** Resolves the changes of connections that the fence of a new connection to the same server
+   * invalidated. */
+  private void resolveInvalidated(Target target, NbdConnection connection) {
+    target.unresolvedChanges.entrySet().removeIf(entry -> {
+      boolean invalidated = entry.getKey() < connection.fence.serial() && !connection.fence.liveSerials()
+          .contains(entry.getKey());
+      if (invalidated) {
+        entry.getValue().forEach(engine::attemptResolved);
+      }
+      return invalidated;
+    });
+  }
+
   /** Continues as another holder of the name; called on the engine's thread. Connections of the previous
    * holder are closed, because its fences no longer count. */
   public void changeHolder(Holder newHolder) {
@@ -333,7 +398,7 @@
       List<Attempt> withdrawn) {
     Target target = targets.get(connection.node);
     target.connections.remove(connection);
-    serials.markClosed(connection.node, connection.fence.serial());
+    serials.markClosed(target.address.socketAddress(), connection.fence.serial());
     if (!closing) {
       LOG.atInfo()
           .addKeyValue("node", target.address.name())
@@ -373,15 +438,27 @@
     }
   }
 
-  /** Considers the unresolved changes of a node that is no longer listed resolved after the settle time,
-   * because its shard belongs to another node and nobody observes them. This guards against blocks that stay
-   * locked because a node never returns. The cost is that a node listed again within that time is trusted to
-   * have been fenced by the negotiation before its first command. */
+  /** Resolves the changes of a node that is no longer listed after the settle time. If its server is still
+   * listed under another name, zone or shard, a fence has to stop them, as they could still overwrite newer
+   * data there. Otherwise they count as resolved, because nobody reads them. This guards against blocks that
+   * stay locked because a node never returns. The cost is that a node listed again within that time is
+   * trusted to have been fenced by the negotiation before its first command. */
   private void resolveAfterSettleTime(Target target) {
     engine.schedule(limits.settleUs(), () -> {
-      if (!target.listed) {
+      if (target.listed || target.unresolvedChanges.isEmpty() || closing) {
+        return;
+      }
+      Target successor = targets.values()
+          .stream()
+          .filter(other -> other.listed && other.hasSameAddress(target))
+          .findFirst()
+          .orElse(null);
+      if (successor == null || successor.withoutFences()) {
         target.unresolvedChanges.values().forEach(changes -> changes.forEach(engine::attemptResolved));
         target.unresolvedChanges.clear();
+      } else {
+        openConnection(successor);
+        resolveAfterSettleTime(target);
       }
     });
   }
--- a/src/main/java/hollyslip/settings/Deployment.java
+++ b/src/main/java/hollyslip/settings/Deployment.java
@@ -109,6 +109,11 @@
       this(id, name, host, port, zone, shard, state, 0, 0);
     }
 
+    /** The same node under another id. */
+    public Node withId(long newId) {
+      return new Node(newId, name, host, port, zone, shard, state, capacity, bytes);
+    }
+
     /** Returns the scheduler's node list entry for this node. */
     public NodeEntry toNodeEntry() {
       return new NodeEntry(id, zone, shard, state, 0);
