Keep an administrator's drain in force while the node list is replaced

Callers would see: on SIGHUP a node that an administrator had drained was on again until the registry had been read, and got new work.

Cause: Gateway.replaceNodes published the list with the states of the settings first and put the recorded ones back in a later task; a start opened the sockets of the settings' volumes before the recorded states were in force (by reading only).

Change: the list is replaced on the control's thread, where administrators' changes are applied, with the recorded states in it, in one step. At a start the sockets of the settings' volumes and of the file front open after the recorded states are applied.

Measured: aNodeDrainedByAnAdministratorStaysDrainingWhileTheListIsReplaced fails on (expected DRAINING, was ON) and passes now; NodeListChangeTest 5, HostedTest 5, AdminTest 14, SftpTest 3, ArchitectureTest 4 green.

--- a/src/main/java/hollyslip/gateway/Gateway.java
+++ b/src/main/java/hollyslip/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import hollyslip.recovery.EpochElection.Holder;
 import hollyslip.settings.Deployment;
 import hollyslip.store.FileSystemDirectory;
+import hollyslip.tenant.Change.NodeStatePut;
 import hollyslip.tenant.Shard;
 import hollyslip.volume.RequestClassifier;
 import hollyslip.volume.ExtentSplitter;
@@ -33,6 +34,7 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -115,11 +117,6 @@
     membership.replaceAll(nodeEntries(currentNodes));
     Files.createDirectories(process.socketDir());
     acceptor = new Acceptor();
-    for (Volume volume : deployment.volumes()) {
-      vhostServers.add(new VhostServer(lanes, acceptor, volume.name(), socketPath(volume.name()),
-          VhostServer.ANY_USER));
-    }
-    sftp = process.sftp() ? new SftpServer(lanes, process.socketDir().resolve("sftp.sock")) : null;
     hostedVolumes = process.hosting() == null
         ? null
         : new HostedVolumes(lanes, acceptor, process.socketDir(), process.hosts(), this::setNodeState,
@@ -135,6 +132,12 @@
     if (control != null) {
       control.start().join();
     }
+    // Only now: the node states set by administrators are in force.
+    for (Volume volume : deployment.volumes()) {
+      vhostServers.add(new VhostServer(lanes, acceptor, volume.name(), socketPath(volume.name()),
+          VhostServer.ANY_USER));
+    }
+    sftp = process.sftp() ? new SftpServer(lanes, process.socketDir().resolve("sftp.sock")) : null;
     LOG.atInfo()
         .addKeyValue("name", process.name())
         .addKeyValue("epoch", holder.epoch())
@@ -396,9 +399,25 @@
             .log("node.state"));
   }
 
-  /** Replaces the node list; all other settings stay unchanged. */
+  /** Replaces the node list; all other settings stay unchanged. The node states set by administrators take
+   * precedence over the settings. */
   public synchronized void replaceNodes(Deployment newDeployment) {
-    List<Deployment.Node> nodes = assignIds(newDeployment.nodes());
+    if (control == null) {
+      applyNodes(newDeployment.nodes(), List.of());
+      return;
+    }
+    // On the control's thread, where administrators' changes are applied: none can come in between.
+    control.read(records -> {
+      applyNodes(newDeployment.nodes(), records.nodes());
+      return null;
+    }).exceptionally(error -> {
+      LOG.atError().setCause(error).log("nodes.replaced");
+      return null;
+    }).join();
+  }
+
+  private void applyNodes(List<Deployment.Node> listedNodes, Collection<NodeStatePut> setStates) {
+    List<Deployment.Node> nodes = assignIds(listedNodes);
     List<NodePool.Address> addresses = nodeAddresses(nodes);
     for (int i = 0; i < pools.size(); i++) {
       NodePool pool = pools.get(i);
@@ -406,16 +425,20 @@
     }
     List<NodeEntry> before = membership.list();
     currentNodes = nodes;
-    membership.replaceAll(nodeEntries(nodes));
-    if (control != null) {
-      // The node states set by administrators take precedence over the settings.
-      control.read(records -> List.copyOf(records.nodes()))
-          .thenAccept(recorded -> recorded.forEach(node -> setNodeState(node.node(), node.state())));
-    }
+    membership.replaceAll(nodeEntries(withSetStates(nodes, setStates)));
     logNodeChanges(before);
     LOG.atInfo().addKeyValue("nodes", nodes.size()).log("nodes.replaced");
   }
 
+  private static List<Deployment.Node> withSetStates(List<Deployment.Node> nodes,
+      Collection<NodeStatePut> setStates) {
+    Map<String, NodeState> states = new HashMap<>();
+    setStates.forEach(set -> states.put(set.node(), set.state()));
+    return nodes.stream()
+        .map(node -> node.withState(states.getOrDefault(node.name(), node.state())))
+        .toList();
+  }
+
   /** Returns the socket path of a volume in the settings. */
   public Path socketPath(String volume) {
     return deployment.gateway().socketDir().resolve(volume + ".sock");
--- a/src/main/java/hollyslip/settings/Deployment.java
+++ b/src/main/java/hollyslip/settings/Deployment.java
@@ -114,6 +114,11 @@
       return new Node(newId, name, host, port, zone, shard, state, capacity, bytes);
     }
 
+    /** The same node in another state. */
+    public Node withState(NodeState newState) {
+      return new Node(id, name, host, port, zone, shard, newState, capacity, bytes);
+    }
+
     /** Returns the scheduler's node list entry for this node. */
     public NodeEntry toNodeEntry() {
       return new NodeEntry(id, zone, shard, state, 0);
--- a/src/test/java/hollyslip/e2e/NodeListChangeTest.java
+++ b/src/test/java/hollyslip/e2e/NodeListChangeTest.java
@@ -1,6 +1,7 @@
 package hollyslip.e2e;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -20,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
@@ -32,6 +34,9 @@
 class NodeListChangeTest {
   private static final int BLOCK_BYTES = 4096;
 
+  /** Units per second that can be reserved on each shard. */
+  private static final double CAPACITY = 100_000;
+
   /** How long after a node has left the list it may still receive new commands, us: the drain grace. */
   private static final long GRACE_US = 1_000_000;
 
@@ -42,7 +47,8 @@
   Path dir;
 
   private static Deployment.Node node(long id, String name, StandInDiskServer server, int shard) {
-    return new Deployment.Node(id, name, "127.0.0.1", server.address().getPort(), "a", shard, NodeState.ON);
+    return new Deployment.Node(id, name, "127.0.0.1", server.address().getPort(), "a", shard, NodeState.ON,
+        CAPACITY, TestDeployment.SHARD_BYTES);
   }
 
   private static StandInDiskServer spare() throws Exception {
@@ -170,6 +176,52 @@
     }
   }
 
+  /** A node that an administrator drained was listed as on until the recorded states were read again. */
+  @Test
+  void aNodeDrainedByAnAdministratorStaysDrainingWhileTheListIsReplaced() throws Exception {
+    try (TestDeployment site = new TestDeployment(dir, 2)) {
+      site.hosted = true;
+      List<Deployment.Node> nodes = List.of(node(1, "store-0", site.disks.get(0), 0), node(2, "store-1",
+          site.disks.get(1), 1));
+      Gateway gateway = startGateway(site, nodes);
+      gateway.control()
+          .execute((handler, at) -> handler.setNodeState(at, "operator", "store-1", 0, NodeState.DRAINING),
+              records -> null)
+          .get(20, TimeUnit.SECONDS);
+      Awaitility.await().until(() -> stateOf(gateway, 2) == NodeState.DRAINING);
+      CountDownLatch release = new CountDownLatch(1);
+      gateway.control().read(records -> awaitQuietly(release));
+      Thread reload = new Thread(() -> replaceNodes(gateway, site, nodes));
+      reload.start();
+      for (int i = 0; i < 50; i++) {
+        assertEquals(NodeState.DRAINING, stateOf(gateway, 2));
+        Thread.sleep(5);
+      }
+      release.countDown();
+      reload.join(20_000);
+      assertEquals(NodeState.DRAINING, stateOf(gateway, 2));
+    }
+  }
+
+  private static boolean awaitQuietly(CountDownLatch latch) {
+    try {
+      return latch.await(20, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private static NodeState stateOf(Gateway gateway, long node) {
+    return gateway.membership()
+        .list()
+        .stream()
+        .filter(entry -> entry.node() == node)
+        .findFirst()
+        .orElseThrow()
+        .state();
+  }
+
   /** Whatever the scheduler holds for true, nothing goes to a node that holds another shard. */
   @Test
   void aRequestForAnotherShardIsNotSent() throws Exception {
