Close connections that find no place in time, instead of letting them wait unread

Cause: at the limit accepting was switched off until the first idle connection was 2 s old, so nobody saw what the system had accepted. An accept loop that ended for that reason was taken for one that found the queue empty, and the next accept dropped the time since which connections may have waited: their requests counted as fresh.

An accept loop counts as having emptied the queue only while accepting is on.

The new test fails on the code before ("the request on connection 80 waits unread"); LostRequestsTest 13 (2 known red), ClientConnectionManagerTest 90, ArrivalTimeEstimatorTest 3 green.

--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -54,6 +54,10 @@
 
   private static final long SWEEP_INTERVAL_MS = 100;
 
+  /** How long new connections wait for room before they are closed unread, us, up to a sweep more: a request
+   * counts as lost half a second after its deadline. */
+  static final long MAX_QUEUE_WAIT_US = 200_000;
+
   /** The connection limit counts as nearly reached when at most one in this many connections is still
    * free. */
   private static final int NEARLY_FULL_DIVISOR = 8;
@@ -70,8 +74,16 @@
   private final ArrivalTimeEstimator arrivalTimes;
   private Channel listener;
   private boolean ready, draining, atCapacity, acceptPaused;
+  /** Whether waiting connections are accepted only to be closed. */
+  private boolean sheddingQueue;
+  /** Whether the last accept loop ended because the accept queue was empty. */
+  private boolean acceptQueueDrained;
+  /** Since when connections may be waiting at the limit, us. */
+  private long atCapacitySince;
   /** Connections accepted so far, and that number at the last call of {@link #closeIfDrained}. */
   private long acceptedCount, acceptedAtLastCheck = -1;
+  /** Connections closed since the queue was last shed. */
+  private int shedCount;
 
   ClientConnectionManager(EventLoop loop, MonotonicClock clock, EventLog log, RequestDispatcher dispatcher,
       RequestHead.Parser headParser, Bounds bounds) {
@@ -101,6 +113,11 @@
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
+            if (sheddingQueue && openConnections.size() >= maxConnections) {
+              channel.close();
+              shedCount++;
+              return;
+            }
             ClientConnection connection = new ClientConnection(ClientConnectionManager.this, channel);
             openConnections.add(connection);
             acceptedCount++;
@@ -124,9 +141,6 @@
    * errors from it. Also detects when the accept queue is empty. */
   private final class AcceptHandler extends ChannelInboundHandlerAdapter {
     private int acceptedInRead;
-    /** Whether the last read accepted fewer connections than it could have, so that the queue was empty.
-     * False if it ended in an error. */
-    private boolean acceptQueueDrained;
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object connection) {
@@ -138,12 +152,16 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-      acceptQueueDrained = acceptedInRead < MAX_ACCEPTS_PER_READ;
+      // A loop also ends when accepting was switched off meanwhile: that says nothing about the queue.
+      acceptQueueDrained = acceptedInRead < MAX_ACCEPTS_PER_READ && listener.config().isAutoRead();
       if (!acceptQueueDrained) {
         arrivalTimes.acceptingStopped(now());
       }
       acceptedInRead = 0;
       ctx.fireChannelReadComplete();
+      if (sheddingQueue && acceptQueueDrained) {
+        finishShedding();
+      }
     }
 
     @Override
@@ -164,8 +182,12 @@
   }
 
   private void updateAutoRead() {
-    boolean accepting = !atCapacity && !acceptPaused;
+    boolean accepting = (!atCapacity || sheddingQueue) && !acceptPaused;
     if (!accepting) {
+      if (acceptQueueDrained) {
+        arrivalTimes.acceptQueueEmpty();
+        acceptQueueDrained = false;
+      }
       arrivalTimes.acceptingStopped(now());
     }
     listener.config().setAutoRead(accepting);
@@ -251,16 +273,34 @@
 
   private void resumeAccepting() {
     atCapacity = false;
+    sheddingQueue = false;
+    updateAutoRead();
+  }
+
+  /** Closes the connections that wait in the accept queue, unread: their clients see a reset and can send
+   * their requests elsewhere, while nobody would learn of a request that waits there. */
+  private void startShedding() {
+    sheddingQueue = true;
+    shedCount = 0;
+    updateAutoRead();
+  }
+
+  private void finishShedding() {
+    sheddingQueue = false;
+    atCapacitySince = now();
+    if (shedCount > 0) {
+      log.event("front.shed", "connections", shedCount);
+    }
     updateAutoRead();
   }
 
   /** Closes idle connections beyond {@link #maxIdleConnections}: first those that never sent anything, at
    * once if the limit is nearly reached, then the longest idle of the others, after
    * {@link #MIN_IDLE_BEFORE_EVICTION_US}. At the limit, new connections wait in the operating system's accept
-   * queue. This protects the limit from clients that open hundreds of connections and send nothing, and from
-   * clients that send one request and keep the connection, although their own side can open just as few. The
-   * drawback is that an ordinary client whose persistent connection was closed, or that is slow to send, has
-   * to reconnect. */
+   * queue for up to {@link #MAX_QUEUE_WAIT_US}, and are then closed unread. This protects the limit from
+   * clients that open hundreds of connections and send nothing, and from clients that send one request and
+   * keep the connection, although their own side can open just as few. The drawback is that an ordinary
+   * client whose persistent connection was closed, or that is slow to send, has to reconnect. */
   private void evictIdleConnections(long now) {
     int idleCount = 0;
     for (ClientConnection c : openConnections) {
@@ -284,6 +324,7 @@
     }
     if (openConnections.size() >= maxConnections && !atCapacity) {
       atCapacity = true;
+      atCapacitySince = now;
       updateAutoRead();
       log.event("front.full", "connections", openConnections.size());
     }
@@ -309,5 +350,8 @@
     List.copyOf(openConnections).forEach(c -> c.checkTimeouts(now));
     dispatcher.failOverdueRequests();
     evictIdleConnections(now);
+    if (atCapacity && !sheddingQueue && now - atCapacitySince >= MAX_QUEUE_WAIT_US) {
+      startShedding();
+    }
   }
 }
--- a/src/test/java/hollyslip/platform/LostRequestsTest.java
+++ b/src/test/java/hollyslip/platform/LostRequestsTest.java
@@ -196,6 +196,31 @@
     }
   }
 
+  /** Clients ask once and keep their connections until none is left. Requests on further connections waited
+   * in the accept queue for two seconds, neither answered nor reset. */
+  @Test
+  void behindIdleClientsAtTheConnectionLimitRequestsDoNotWaitUnread() throws Exception {
+    int waitsMs = 500;
+    List<SchedulerFixture.Client> clients = new ArrayList<>();
+    try (SchedulerProcessFixture fixture = new SchedulerProcessFixture(200, Map.of())) {
+      fixture.startEcho();
+      int closedUnread = 0;
+      for (int i = 0; i < 200 && closedUnread < 5; i++) {
+        SchedulerFixture.Client client = fixture.client();
+        clients.add(client);
+        client.send(read("t" + i, waitsMs));
+        ConnectionEnd end = awaitEnd(client.socket, waitsMs + (int) MAX_LATENESS_MS);
+        assertTrue(end != ConnectionEnd.SILENT, "the request on connection " + i + " waits unread");
+        closedUnread += end == ConnectionEnd.ANSWERED ? 0 : 1;
+      }
+      assertTrue(fixture.log.stream().anyMatch(l -> l.contains(" front.full ")), "the limit was reached");
+    } finally {
+      for (SchedulerFixture.Client client : clients) {
+        client.close();
+      }
+    }
+  }
+
   @Test
   void acceptErrorsDoNotDelayClients() throws Exception {
     try (SchedulerProcessFixture fixture = new SchedulerProcessFixture(400, SyscallFaults.environment(
