Limit the invalid requests that wait on a connection

Cause: errors that wait for their turn were counted by connection only, 4,096 and what one read holds, each of them decoded, logged and kept; in sum some 60 MB of items at 200 connections and over a million heads to parse.

Change: with the 33rd invalid request that waits, the connection takes no more input: its client gets the errors so far, one more and the close. The decoder stops at once, also within a read, and drops the rest. Valid requests, refused ones included, are counted as before.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -32,6 +32,10 @@
   /** Requests that may be queued behind an open one; further requests are refused in their turn. */
   private static final int MAX_QUEUED_REQUESTS = 32;
 
+  /** Invalid requests that may be queued; with the next one, the connection takes no more input. Guards
+   * against clients that send thousands of them without waiting for the responses. */
+  private static final int MAX_QUEUED_INVALID_REQUESTS = 32;
+
   /** Number of pending responses at which reading stops, and at which it resumes. */
   private static final int MAX_PENDING_RESPONSES = 4096, RESUME_PENDING_RESPONSES = 1024;
 
@@ -75,7 +79,7 @@
   private long partialRequestSince;
   /** Total bytes read, and how many of them were discarded. */
   private long bytesRead;
-  private int discardedBytes;
+  private int discardedBytes, queuedInvalidRequests;
   private boolean insideRead;
   private String closeReason = "client closed";
 
@@ -196,6 +200,7 @@
       accepted = item.rejectedWith(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
     queued.add(accepted);
+    queuedInvalidRequests += accepted.isInvalid() ? 1 : 0;
     if (current != null) {
       // Responses are sent in order: the open request must end before the new one is due.
       manager.dispatcher().shortenDeadline(current, accepted.respondBy());
@@ -218,6 +223,7 @@
     if (item.isRequest()) {
       manager.dispatcher().requestBytes().release(QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length);
     }
+    queuedInvalidRequests -= item.isInvalid() ? 1 : 0;
     if (queued.size() == RESUME_PENDING_RESPONSES && state.sendsResponses()) {
       channel.config().setAutoRead(true);
     }
@@ -236,6 +242,7 @@
     if (state.acceptsRequests()) {
       state = State.BROKEN;
       partialRequestSince = -1;
+      decoder.stop();
       assembler.reset();
       long dueInUs = status == HttpResponseStatus.REQUEST_TIMEOUT
           ? ClientConnectionManager.TIMEOUT_RESPONSE_DEADLINE_US
@@ -439,7 +446,11 @@
           InboundRequest complete = assembler.addContent(content, arrivedAt);
           if (complete != null) {
             partialRequestSince = -1;
-            enqueue(complete);
+            if (complete.isInvalid() && queuedInvalidRequests >= MAX_QUEUED_INVALID_REQUESTS) {
+              framingError(complete.errorStatus());
+            } else {
+              enqueue(complete);
+            }
           }
         }
       } catch (RequestAssembler.FramingException e) {
--- a/src/main/java/hollyslip/platform/InboundRequest.java
+++ b/src/main/java/hollyslip/platform/InboundRequest.java
@@ -1,6 +1,7 @@
 package hollyslip.platform;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 
 /** One item of a client connection's queue, which is answered in order of arrival: a complete request, or
  * input that is answered with an error.
@@ -29,6 +30,11 @@
     return errorStatus == null;
   }
 
+  /** Whether it is answered with an error that is the client's own fault. */
+  boolean isInvalid() {
+    return errorStatus != null && errorStatus.codeClass() == HttpStatusClass.CLIENT_ERROR;
+  }
+
   /** An error response to this request, which is not served. */
   InboundRequest rejectedWith(HttpResponseStatus status) {
     return rejected(status, respondBy, closeAfterResponse);
--- a/src/main/java/hollyslip/platform/RequestDecoder.java
+++ b/src/main/java/hollyslip/platform/RequestDecoder.java
@@ -12,7 +12,7 @@
  * more is read from the connection. */
 final class RequestDecoder extends HttpRequestDecoder {
   private final HttpHeadValidator headValidator = new HttpHeadValidator();
-  private boolean awaitingHead = true;
+  private boolean awaitingHead = true, stopped;
 
   RequestDecoder() {
     super(HttpSupport.strictDecoderConfig());
@@ -29,6 +29,10 @@
 
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    if (stopped) {
+      in.skipBytes(in.readableBytes());
+      return;
+    }
     if (awaitingHead) {
       if (!in.isReadable()) {
         return;
@@ -65,6 +69,11 @@
     HttpSupport.rejectLengthWithTransferEncoding();
   }
 
+  /** Decodes nothing more: all further input is dropped, also that of the read in progress. */
+  void stop() {
+    stopped = true;
+  }
+
   /** Whether a request has arrived in part but not completely. */
   boolean hasPartialRequest() {
     return !awaitingHead || actualReadableBytes() > 0;
