Answer open requests although much invalid input follows them

Callers would see: a request that had been read, and whose client then sent over 1 MiB after a framing error, got no answer.

Cause: discarding more than 1 MiB closed the connection in every state, also while responses were pending; only the error that comes last is dispensable.

Change: while responses are pending, reading stops instead; the connection is closed after the last of them, as before.

Measured: anOpenRequestIsAnsweredAlthoughMuchInvalidInputFollows fails on the code before (expected 200, was 0: closed) and passes now; LostRequestsTest 14 with one known red, RaceConditionsTest 9 and SchedulerProcessTest 5 green.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -429,8 +429,14 @@
     private void discard(Object message, int count) {
       discardedBytes += count;
       ReferenceCountUtil.release(message);
-      if (discardedBytes > MAX_DISCARDED_BYTES) {
+      if (discardedBytes <= MAX_DISCARDED_BYTES) {
+        return;
+      }
+      if (state == State.DISCARDING) {
         close("too much input after an error");
+      } else {
+        // Requests read before the error are still owed their responses.
+        channel.config().setAutoRead(false);
       }
     }
   }
--- a/src/test/java/hollyslip/platform/LostRequestsTest.java
+++ b/src/test/java/hollyslip/platform/LostRequestsTest.java
@@ -221,6 +221,28 @@
     }
   }
 
+  /** More input than is discarded after an error closed the connection under an open request. */
+  @Test
+  void anOpenRequestIsAnsweredAlthoughMuchInvalidInputFollows() throws Exception {
+    try (SchedulerProcessFixture fixture = new SchedulerProcessFixture();
+        SchedulerFixture.Client client = fixture.client()) {
+      client.send(read("open", 15_000).replace("/get/", "/scan/"));
+      ScriptedServer.ReceivedRequest attempt = fixture.diskServer.nextRequest();
+      Thread writer = new Thread(() -> {
+        try {
+          client.send(" invalid".repeat(1 << 18));
+        } catch (IOException closed) {
+          // The scheduler does not read all of it.
+        }
+      }, "client that sends invalid input");
+      writer.setDaemon(true);
+      writer.start();
+      Thread.sleep(300);
+      attempt.respondOk("x");
+      assertEquals(200, client.readStatus());
+    }
+  }
+
   @Test
   void acceptErrorsDoNotDelayClients() throws Exception {
     try (SchedulerProcessFixture fixture = new SchedulerProcessFixture(400, SyscallFaults.environment(
