Suspend the process for certain in tests; the forwarded deadline was right

The signal takes effect later: the process read the request, forwarded it with a right X-Remaining, and stopped then, while the test compared the value with the time left 0.9 s later.

Change: SchedulerProcessFixture.suspend waits until every thread is in state T. The test checks the same bound as before, and in addition that the request reached the disk server only after the hold.

--- a/src/test/java/hollyslip/platform/LostRequestsTest.java
+++ b/src/test/java/hollyslip/platform/LostRequestsTest.java
@@ -147,7 +147,7 @@
     try (SchedulerProcessFixture fixture = new SchedulerProcessFixture(200, Map.of())) {
       fixture.startEcho();
       for (int round = 0; round < 5; round++) {
-        fixture.signal("STOP");
+        fixture.suspend();
         List<Socket> requestSockets = new ArrayList<>();
         List<Socket> silentSockets = new ArrayList<>();
         for (int i = 0; i < 150; i++) {
@@ -371,12 +371,13 @@
         assertEquals(200, client.readStatus());
       }
       for (int heldMs : new int[]{140, 450, 900}) {
-        fixture.signal("STOP");
+        fixture.suspend();
         long sentAt = nowMs();
         client.send(unsafeWrite("held" + heldMs, 2000));
         Thread.sleep(heldMs);
         fixture.signal("CONT");
         ScriptedServer.ReceivedRequest attempt = fixture.diskServer.nextRequest();
+        assertTrue(attempt.receivedAtMs() - sentAt >= heldMs, "the process was not suspended");
         long leftMs = 2000 - (nowMs() - sentAt);
         long forwardedMs = Long.parseLong(attempt.header("X-Remaining").replace("u", "")) / 1000;
         assertTrue(forwardedMs <= leftMs + 150, "held for " + heldMs + " ms: forwarded " + forwardedMs
@@ -396,7 +397,7 @@
       kept.send(read("warm", 2000));
       fixture.diskServer.nextRequest().respondOk("x");
       assertEquals(200, kept.readStatus());
-      fixture.signal("STOP");
+      fixture.suspend();
       long start = nowMs();
       kept.send(unsafeWrite("kept", 1000));
       try (SchedulerFixture.Client queued = fixture.client()) {
--- a/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
+++ b/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
@@ -1,5 +1,6 @@
 package hollyslip.platform;
 
+import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -144,6 +145,24 @@
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
   }
 
+  /** Stops all threads of the process; {@code signal("CONT")} continues them. The signal alone returns before
+   * the threads have stopped. */
+  void suspend() throws IOException, InterruptedException {
+    signal("STOP");
+    Awaitility.await().pollInterval(1, TimeUnit.MILLISECONDS).until(this::allThreadsStopped);
+  }
+
+  private boolean allThreadsStopped() throws IOException {
+    for (File thread : new File("/proc/" + process.pid() + "/task").listFiles()) {
+      String status = Files.readString(thread.toPath().resolve("stat"));
+      // The state follows the name, which is in parentheses.
+      if (status.charAt(status.lastIndexOf(')') + 2) != 'T') {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** From now on, the disk server responds to each request with the id of the request. */
   void startEcho() {
     diskServer.startEcho();
--- a/src/test/java/hollyslip/platform/ScriptedServer.java
+++ b/src/test/java/hollyslip/platform/ScriptedServer.java
@@ -23,7 +23,12 @@
   private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
 
   /** A received request and its connection. */
-  record ReceivedRequest(Socket connection, String head, String body) {
+  record ReceivedRequest(Socket connection, String head, String body, long receivedAtMs) {
+    /** A request received now. */
+    ReceivedRequest(Socket connection, String head, String body) {
+      this(connection, head, body, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
     void respond(String bytes) throws IOException {
       connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
     }
