--- a/review/src-2/DrainCase.java
+++ b/review/src-2/DrainCase.java
@@ -65,10 +65,10 @@
           if (Kit.trouble()) {
             discovery.sender = (out, object) -> Kit.Discovery.chunk(out, indent(object, 8) + "\n");
           }
-        } else if (Kit.trouble()) {
+        } else if (mode.equals("start") && Kit.trouble()) {
           discovery.answerDelay = 3;
         }
-        if (!mode.equals("slow")) {
+        if (!mode.equals("slow") && !mode.equals("reload")) {
           drain(discovery, old, successor);
         }
         scheduler.start();
@@ -103,7 +103,31 @@
             discovery.change(changed.toArray(new Kit.Disk[0]));
           }
         }
-        Kit.sleep(mode.equals("start") ? 6 : 18);
+        if (mode.equals("reload")) {
+          // The agent of the next configuration gets each change 4.5 s later than this one.
+          List<Kit.Disk> views = new ArrayList<>();
+          all.forEach(d -> views.add(d.named(d.host)));
+          Kit.Discovery next = new Kit.Discovery(41, views);
+          next.log = l -> record.line("next discovery: %s", l);
+          Kit.sleep(3);
+          drain(discovery, old, successor);
+          toldBy.set(Kit.now());
+          record.line("discovery tells that %s drains", old.host);
+          double changedAt = Kit.now();
+          Kit.sleep(2);
+          if (Kit.trouble()) {
+            scheduler.configure(next.listener.getLocalPort(), known, Kit.settings(Kit.galway(), "[false,true,false]",
+                listed), 192, 1024);
+            scheduler.signal("HUP");
+            record.line("SIGHUP: a new configuration moves discovery");
+            discovery.close();
+            Kit.sleep(1.5);
+            discovery.closeOpen();
+          }
+          Kit.sleep(changedAt + 4.5 - Kit.now());
+          drain(next, views.get(0), successor);
+        }
+        Kit.sleep(mode.equals("start") || mode.equals("reload") ? 6 : 18);
         ordinary.finish();
         record.line("%s got %d requests up to the end of the grace and %d after it; its successor got %d", old.host, before
             .get(), after.get(), successor.runs());
--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -261,6 +261,7 @@
     /** Whether a watch begins with the whole list. */
     volatile boolean beginWhole;
     final AtomicInteger watches = new AtomicInteger();
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     volatile Consumer<String> log = s -> {};
 
     Discovery(int version, List<Disk> disks) throws IOException {
@@ -272,6 +273,7 @@
           try {
             Socket s = listener.accept();
             s.setTcpNoDelay(true);
+            open.add(s);
             daemon(() -> serve(s));
           } catch (IOException e) {
             return;
@@ -334,10 +336,10 @@
         while (true) {
           String object = null;
           synchronized (this) {
-            if (version <= at && !(first && beginWhole)) {
+            if (version <= at && !(first && (beginWhole || at > version))) {
               wait(1900);
             }
-            if (first && (at < 0 || beginWhole)) {
+            if (first && (at < 0 || at > version || beginWhole)) {
               object = whole();
             } else if (version > at) {
               object = after(at);
@@ -357,9 +359,17 @@
       }
     }
 
+    /** Takes no new connection. */
     public void close() throws IOException {
       listener.close();
     }
+
+    /** Closes the open connections. */
+    void closeOpen() throws IOException {
+      for (Socket s : open) {
+        s.close();
+      }
+    }
   }
 
   /** A class of the settings. */
