Show that a later write of a key runs first when the scheduler was held up

Cause: keys are kept in the order in which the event loop reads requests, not in which they were taken.

--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -401,6 +401,8 @@
   static final class Scheduler implements Closeable {
     final int port;
     final Path root, folder, config, log;
+    /** What the shell does first. */
+    String prefix = "";
     Process process;
     double startedAt, readyAt;
 
@@ -430,7 +432,7 @@
         }
       }
       Path tmp = Files.createDirectories(folder.resolve("tmp"));
-      ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile());
+      ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", prefix + run).directory(root.toFile());
       b.environment().put("PROXY_CONFIG", config.toString());
       b.environment().put("PROXY_NAME", "n1");
       b.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
@@ -461,6 +463,19 @@
       return false;
     }
 
+    private OutputStream shell;
+
+    /** Sends a signal at once, by a shell that runs already. */
+    void signalFast(String name) throws IOException {
+      if (shell == null) {
+        Process sh = new ProcessBuilder("/bin/sh").start();
+        Runtime.getRuntime().addShutdownHook(new Thread(sh::destroyForcibly));
+        shell = sh.getOutputStream();
+      }
+      shell.write(L1.bytes("kill -" + name + " " + process.pid() + "\n"));
+      shell.flush();
+    }
+
     void signal(String name) throws IOException, InterruptedException {
       new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
     }
@@ -521,6 +536,13 @@
     return out.toByteArray();
   }
 
+  /** Like {@link #request}, for a write of this piece of data. */
+  static byte[] write(String id, String clazz, String piece, int shard, long remainingMs, int volume, byte[] body) {
+    String request = L1.text(request(id, clazz, true, id, shard, remainingMs, 2, volume, body));
+    int at = request.indexOf('/', 5) + 1;
+    return L1.bytes(request.substring(0, at) + piece + request.substring(request.indexOf(' ', at)));
+  }
+
   /** One client: a connection that is kept, one request at a time. */
   static final class Client implements Closeable {
     final int port;
@@ -577,6 +599,12 @@
         0.3, 2), clazz("bulk-export", "pure", "all", 5, 0.75, 2.5));
   }
 
+  /** The classes of almaty-ledger: a safe read, and a keyed write that asks for order by key. */
+  static List<String> almaty() {
+    return List.of(clazz("balance-read", "pure", "all", 5, 0.15, 0.75), clazz("transfer-write", "token", "cell", 2.5,
+        0.25, 1.5).replace("\"aim\"", "\"byArrival\":true,\"aim\""));
+  }
+
   /** A disk server that does what it is told: so much work a request, on so many cores. */
   static Disk plainDisk(int block, double workS, int cores, Record record, boolean verbose) throws IOException {
     Semaphore free = new Semaphore(cores);
