--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # See claim.txt. TROUBLE=0: without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
-exec sh "$here/../src-2/case.sh" "$here" DrainCase indented 3200
+exec sh "$here/../src-2/case.sh" "$here" OrderCase
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # See claim.txt. TROUBLE=0: without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
-exec sh "$here/../src-2/case.sh" "$here" OrderCase
+exec sh "$here/../src-2/case.sh" "$here" CrowdCase bodies 2048 4096 60 200
