Lay out epoll events by architecture, so that rings are served on arm64

What callers saw: on arm64 no ring client got an answer ("no reply within 10 s"), and demo never ended; x86-64 was not affected.

Cause: Linux.Epoll laid out struct epoll_event with 12 bytes and its data at offset 4. The kernel packs it so on x86-64 alone; elsewhere it has 16 bytes and the data at 8. Tags came back wrong, and the kernel wrote past the memory of the 64 events.

Change: EpollEventLayout holds the layout by architecture and refuses a machine whose layout is not known with one line. A tag that names no descriptor is logged and ignored.

--- a/src/main/java/hollyslip/front/sys/Linux.java
+++ b/src/main/java/hollyslip/front/sys/Linux.java
@@ -422,32 +422,35 @@
   /** A set of many file descriptors to wait for input on, at a cost that depends on those that have input
    * (epoll(7)). */
   public static final class Epoll {
-    private static final int ADD = 1, DELETE = 2, EVENT_BYTES = 12;
+    private static final int ADD = 1, DELETE = 2, MAX_EVENTS = 64;
+    private final EpollEventLayout layout = EpollEventLayout.of(System.getProperty("os.arch"));
+    private final Memory events = new Memory((long) MAX_EVENTS * layout.size());
     private final int fd;
-    private final Memory events = new Memory(64L * EVENT_BYTES);
 
+    /** @throws IOException
+     *           if there is no descriptor left, or the architecture is not supported */
     public Epoll() throws IOException {
       fd = check(epoll_create1(SOCK_CLOEXEC), "epoll_create1");
     }
 
     /** Adds a file descriptor; {@code tag} is returned with its events. */
     public void add(int watched, int tag) throws IOException {
-      Memory event = new Memory(EVENT_BYTES);
+      Memory event = new Memory(layout.size());
       event.setInt(0, POLLIN);
-      event.setLong(4, tag);
+      event.setLong(layout.dataOffset(), tag);
       check(epoll_ctl(fd, ADD, watched, event), "epoll_ctl");
     }
 
     public void remove(int watched) {
-      epoll_ctl(fd, DELETE, watched, new Memory(EVENT_BYTES));
+      epoll_ctl(fd, DELETE, watched, new Memory(layout.size()));
     }
 
     /** Waits and returns the tags of the file descriptors that have input. */
     public int[] await() {
-      int count = Math.max(0, epoll_wait(fd, events, 64, -1));
+      int count = Math.max(0, epoll_wait(fd, events, MAX_EVENTS, -1));
       int[] tags = new int[count];
       for (int i = 0; i < count; i++) {
-        tags[i] = (int) events.getLong((long) i * EVENT_BYTES + 4);
+        tags[i] = (int) events.getLong((long) i * layout.size() + layout.dataOffset());
       }
       return tags;
     }
--- a/src/main/java/hollyslip/front/vhost/Acceptor.java
+++ b/src/main/java/hollyslip/front/vhost/Acceptor.java
@@ -63,6 +63,8 @@
         Listener listener = listeners.get(tag);
         if (listener != null) {
           accept(tag, listener);
+        } else if (tag < WAKE_UP_TAG || tag > lastTag.get()) {
+          LOG.atError().addKeyValue("tag", tag).log("vhost.unknown-tag");
         }
       }
     }
