--- a/src/main/java/hollyslip/front/sys/EpollEventLayout.java
+++ b/src/main/java/hollyslip/front/sys/EpollEventLayout.java
@@ -22,8 +22,9 @@
     return switch (architecture) {
       case "amd64", "x86_64" -> PACKED;
       case "aarch64" -> ALIGNED;
-      default -> throw new IOException("unsupported machine: system structures are known for x86-64 (amd64) and"
-          + " arm64 (aarch64) only, not for " + architecture);
+      default -> throw new IOException(
+          "unsupported machine: system structures are known for x86-64 (amd64) and"
+              + " arm64 (aarch64) only, not for " + architecture);
     };
   }
 }
