End the attempt of a request whose client left before it was carried out

What callers saw: in a class that asks for order, all later requests of a key waited unsent until they were refused at their aim, in a test 10 s.

Cause: RequestDispatcher.startAttempt returned without a word where the request was gone already, which the module learns only from the event behind the one it acts on. It counted the attempt as in flight for ever, with its key and its place at the node. A trace of events and actions: AttemptEnded of request 2, Send of request 3, RequestAbandoned of request 3, then nothing for request 4 but its refusal.

Change: such an attempt ends as MOOT.

Test: RequestDispatcherTest#anAttemptOfARequestWhoseClientJustLeftEnds.

--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -36,6 +36,9 @@
    * scheduler may have lost it. */
   private static final long OVERDUE_GRACE_US = 100_000;
 
+  /** Number of an attempt that was not made as its request is over. */
+  private static final int UNNUMBERED_ATTEMPT = -1;
+
   private final HostScheduler scheduler;
   private final Settings settings;
   private final EventLoop loop;
@@ -264,6 +267,9 @@
   private void startAttempt(HostScheduler.Send send) {
     Exchange exchange = byRequestId.get(send.request());
     if (exchange == null) {
+      // Its client has left, which the scheduler learns by a later event; it still counts the attempt.
+      post(new HostScheduler.AttemptEnded(send.request(), UNNUMBERED_ATTEMPT, send.node(), Result.MOOT, true,
+          0, 0, 0, null));
       return;
     }
     int attempt = exchange.attempts++;
--- a/src/test/java/hollyslip/platform/RequestDispatcherTest.java
+++ b/src/test/java/hollyslip/platform/RequestDispatcherTest.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -33,19 +34,24 @@
     log.close();
   }
 
-  /** Sends one request through the scheduler and returns how it was answered. Fails if the response comes
-   * more than half a second after the request's deadline. */
-  private String respondTo(HostScheduler scheduler) throws Exception {
+  private RequestDispatcher dispatcher(HostScheduler scheduler) throws IOException {
     Settings settings = JsonSettingsParser.parse(5, new ObjectMapper().readTree(SchedulerFixture.SETTINGS));
     DiskConnectionPool disks = new DiskConnectionPool(loop, clock, log, 10, new ByteBudget(1 << 20),
         1_000_000, 0);
-    RequestDispatcher dispatcher = new RequestDispatcher(scheduler, settings, loop, clock, log, disks,
-        new ByteBudget(1 << 20));
+    return new RequestDispatcher(scheduler, settings, loop, clock, log, disks, new ByteBudget(1 << 20));
+  }
+
+  private static RequestHead head() {
+    return new RequestHead("t1", "GET", "/get/0", "get", "gold", 0, null, REQUEST_TIMEOUT_US, 1, 1, 0, 1,
+        false, false, 0);
+  }
+
+  /** Sends one request through the scheduler and returns how it was answered. Fails if the response comes
+   * more than half a second after the request's deadline. */
+  private String respondTo(HostScheduler scheduler) throws Exception {
+    RequestDispatcher dispatcher = dispatcher(scheduler);
     CompletableFuture<String> response = new CompletableFuture<>();
-    RequestHead head = new RequestHead("t1", "GET", "/get/0", "get", "gold", 0, null, REQUEST_TIMEOUT_US, 1,
-        1, 0, 1, false,
-        false, 0);
-    loop.submit(() -> dispatcher.accept(head, new byte[0], clock.now(), new Exchange.Responder() {
+    loop.submit(() -> dispatcher.accept(head(), new byte[0], clock.now(), new Exchange.Responder() {
       @Override
       public void serve(byte[] body) {
         response.complete("served");
@@ -84,4 +90,41 @@
       throw new IllegalStateException("simulated scheduler fault");
     }));
   }
+
+  /** A client leaves while an event is pending at which the scheduler sends its request: the scheduler learns
+   * that nothing was sent. Else it counts an attempt for ever, and later requests of that key, in a class
+   * that asks for order, wait for it until they are refused. */
+  @Test
+  void anAttemptOfARequestWhoseClientJustLeftEnds() throws Exception {
+    CompletableFuture<HostScheduler.AttemptEnded> ended = new CompletableFuture<>();
+    RequestDispatcher dispatcher = dispatcher((now, event, out) -> {
+      if (event instanceof HostScheduler.Stopping) {
+        out.accept(new HostScheduler.Send(1, 1, 0, Long.MAX_VALUE));
+      } else if (event instanceof HostScheduler.AttemptEnded attempt) {
+        ended.complete(attempt);
+      }
+    });
+    loop.submit(() -> {
+      Exchange exchange = dispatcher.accept(head(), new byte[0], clock.now(), new IgnoringResponder());
+      dispatcher.beginShutdown(Long.MAX_VALUE);
+      dispatcher.abandon(exchange);
+    }).sync();
+    assertEquals(HostScheduler.Result.MOOT, ended.get(20, TimeUnit.SECONDS).result());
+    assertEquals(1, ended.get().request());
+  }
+
+  /** For a request whose response does not matter. */
+  private static final class IgnoringResponder implements Exchange.Responder {
+    @Override
+    public void serve(byte[] body) {}
+
+    @Override
+    public void refuse(long retryAfterUs) {}
+
+    @Override
+    public void fail() {}
+
+    @Override
+    public void readPending() {}
+  }
 }
