Run writes of a key in the order in which their last bytes arrived

Cause: the order of a key was the order of reading. New connections are accepted in one turn of the event loop and read in the next, after kept ones; a request in two pieces is listed by its first.

Change: requests of classes that ask for order are held until all that may have come before them is read (ReadBarrier), and then go on by the kernel's time of their last byte (TCP_INFO, through Netty's native library for x86-64 and arm64), with the order of reading where the times differ by no more than a tick. Other classes are untouched, and nothing is loaded without such a class.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -263,8 +263,9 @@
         writeResponse(HttpResponseStatus.CONFLICT, EMPTY_BODY, 0, item.closeAfterResponse());
       } else {
         current = manager.dispatcher()
-            .accept(item.head(), item.body(), item.receivedAt(), new ConnectionResponder(item
-                .closeAfterResponse()));
+            .accept(item.head(), item.body(), item.receivedAt(), item.arrivedAt(), new ConnectionResponder(
+                item
+                    .closeAfterResponse()));
         queued.stream()
             .mapToLong(InboundRequest::respondBy)
             .min()
--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -50,7 +50,10 @@
   private static final long ACCEPT_RETRY_DELAY_MS = 10;
 
   /** Maximum number of connections accepted in one event loop iteration. */
-  private static final int MAX_ACCEPTS_PER_READ = 16;
+  static final int MAX_ACCEPTS_PER_READ = 16;
+
+  /** Maximum number of connections that wait to be accepted. */
+  static final int ACCEPT_QUEUE_LENGTH = 1024;
 
   private static final long SWEEP_INTERVAL_MS = 100;
 
@@ -103,7 +106,7 @@
   Channel listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
     listener = new ServerBootstrap().group(group)
         .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, 1024)
+        .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE_LENGTH)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.MAX_MESSAGES_PER_READ, MAX_ACCEPTS_PER_READ)
         .handler(new AcceptHandler())
@@ -156,6 +159,7 @@
       acceptQueueDrained = acceptedInRead < MAX_ACCEPTS_PER_READ && listener.config().isAutoRead();
       if (!acceptQueueDrained) {
         arrivalTimes.acceptingStopped(now());
+        dispatcher.keyOrder().connectionsLeftInQueue();
       }
       acceptedInRead = 0;
       ctx.fireChannelReadComplete();
--- a/src/main/java/hollyslip/platform/Exchange.java
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -28,6 +28,8 @@
   private long deadline;
   private final Responder responder;
   int attempts, attemptsOutstanding;
+  /** Whether the scheduler has been told of this request. */
+  boolean posted;
   /** Whether the response was given or the client has disconnected. */
   private boolean completed;
 
--- a/src/main/java/hollyslip/platform/InboundRequest.java
+++ b/src/main/java/hollyslip/platform/InboundRequest.java
@@ -11,19 +11,21 @@
  * @param body
  *          body of the request
  * @param receivedAt
- *          when the last byte of the request arrived, us
+ *          earliest time at which the last byte of the request may have arrived, us
+ * @param arrivedAt
+ *          when its last byte arrived, us; see {@link KeyOrderBuffer#arrivalTime}
  * @param respondBy
  *          when the response is due, us
  * @param errorStatus
  *          null for a request
  * @param closeAfterResponse
  *          whether the client asked to close the connection after the response */
-record InboundRequest(RequestHead head, byte[] body, long receivedAt, long respondBy,
-    HttpResponseStatus errorStatus, boolean closeAfterResponse) {
+record InboundRequest(RequestHead head, byte[] body, long receivedAt, long arrivedAt,
+    long respondBy, HttpResponseStatus errorStatus, boolean closeAfterResponse) {
   private static final byte[] EMPTY_BODY = {};
 
   static InboundRequest rejected(HttpResponseStatus status, long respondBy, boolean closeAfterResponse) {
-    return new InboundRequest(null, EMPTY_BODY, 0, respondBy, status, closeAfterResponse);
+    return new InboundRequest(null, EMPTY_BODY, 0, 0, respondBy, status, closeAfterResponse);
   }
 
   boolean isRequest() {
--- a/src/main/java/hollyslip/platform/RequestAssembler.java
+++ b/src/main/java/hollyslip/platform/RequestAssembler.java
@@ -118,7 +118,9 @@
     }
     byte[] bytes = body.toByteArray();
     return new InboundRequest(head, bytes, receivedAt, manager.dispatcher()
-        .responseDeadline(head, receivedAt), null, closeAfterResponse);
+        .keyOrder()
+        .arrivalTime(head, channel), manager.dispatcher().responseDeadline(head, receivedAt), null,
+        closeAfterResponse);
   }
 
   /** Discards the current partial request. */
--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -54,6 +54,7 @@
   private final Map<String, DiskServer> serversByHost = new HashMap<>();
   private final Map<Long, DiskServer> serversByNodeId = new HashMap<>();
   private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
+  private final KeyOrderBuffer keyOrder;
   /** Null if tracing is off. */
   private DiskServerTrace trace;
   /** Whether {@link #handleEvents} is already queued on the event loop. */
@@ -71,6 +72,7 @@
     this.diskPool = diskPool;
     this.requestBytes = requestBytes;
     reportParser = new LoadReportParser(settings);
+    keyOrder = new KeyOrderBuffer(settings, loop, clock, log, this::postRequest);
   }
 
   /** Whether this id belongs to a request that is still open. */
@@ -83,6 +85,11 @@
     return requestBytes;
   }
 
+  /** The order of requests by their keys. */
+  KeyOrderBuffer keyOrder() {
+    return keyOrder;
+  }
+
   /** Number of requests that await their response or the end of an attempt. */
   int openRequestCount() {
     return byRequestId.size();
@@ -107,18 +114,33 @@
     post(new HostScheduler.Stopping(deadline));
   }
 
-  /** Accepts a request whose last byte arrived at {@code receivedAt}, us. Its transaction id must not be
-   * open. */
-  Exchange accept(RequestHead head, byte[] body, long receivedAt, Exchange.Responder responder) {
+  /** Accepts a request. Its transaction id must not be open.
+   *
+   * @param receivedAt
+   *          earliest time at which its last byte may have arrived, from which its deadline counts, us
+   * @param arrivedAt
+   *          when its last byte arrived, us, for its order among requests of the same key */
+  Exchange accept(RequestHead head, byte[] body, long receivedAt, long arrivedAt,
+      Exchange.Responder responder) {
     long deadline = Math.min(responseDeadline(head, receivedAt), shutdownDeadline);
     Exchange exchange = new Exchange(head, body, ++lastRequestId, clock.now(), deadline, responder);
     byTransactionId.put(head.transactionId(), exchange);
     byRequestId.put(exchange.requestId, exchange);
     requestBytes.reserve(body.length);
+    if (keyOrder.appliesTo(head)) {
+      keyOrder.add(exchange, arrivedAt);
+    } else {
+      postRequest(exchange);
+    }
+    return exchange;
+  }
+
+  private void postRequest(Exchange exchange) {
+    exchange.posted = true;
+    RequestHead head = exchange.head;
     post(new HostScheduler.Request(exchange.requestId, head.className(), head.plan(), head.objectKey(),
         head.volumePlanId(), head.units(), head.shard(), head.hosts(), exchange.deadline() - clock.now(),
         head.clientRetry()));
-    return exchange;
   }
 
   /** Latest time to send the response to a request that arrived at {@code receivedAt}, us. */
@@ -130,7 +152,9 @@
   void shortenDeadline(Exchange exchange, long latest) {
     if (!exchange.completed() && latest < exchange.deadline()) {
       exchange.shortenDeadline(latest);
-      post(new HostScheduler.DeadlineShortened(exchange.requestId, latest));
+      if (exchange.posted) {
+        post(new HostScheduler.DeadlineShortened(exchange.requestId, latest));
+      }
     }
   }
 
@@ -139,11 +163,20 @@
     if (!exchange.completed()) {
       logCompletion("request.abandoned", exchange);
       exchange.abandon();
-      post(new HostScheduler.RequestAbandoned(exchange.requestId));
+      withdraw(exchange);
       removeIfDone(exchange);
     }
   }
 
+  /** Tells the scheduler that a request needs no response from it any more. */
+  private void withdraw(Exchange exchange) {
+    if (exchange.posted) {
+      post(new HostScheduler.RequestAbandoned(exchange.requestId));
+    } else {
+      keyOrder.remove(exchange);
+    }
+  }
+
   /** Applies an update of the disk server list from discovery. */
   void updateServers(EndpointUpdate update) {
     long now = clock.now();
@@ -336,7 +369,7 @@
       if (!exchange.completed() && now > exchange.deadline() + OVERDUE_GRACE_US) {
         logCompletion("request.overdue", exchange);
         exchange.fail();
-        post(new HostScheduler.RequestAbandoned(exchange.requestId));
+        withdraw(exchange);
         removeIfDone(exchange);
       }
     }
--- a/src/test/java/hollyslip/platform/RequestDispatcherTest.java
+++ b/src/test/java/hollyslip/platform/RequestDispatcherTest.java
@@ -51,25 +51,26 @@
   private String respondTo(HostScheduler scheduler) throws Exception {
     RequestDispatcher dispatcher = dispatcher(scheduler);
     CompletableFuture<String> response = new CompletableFuture<>();
-    loop.submit(() -> dispatcher.accept(head(), new byte[0], clock.now(), new Exchange.Responder() {
-      @Override
-      public void serve(byte[] body) {
-        response.complete("served");
-      }
-
-      @Override
-      public void refuse(long retryInUs) {
-        response.complete("refused");
-      }
-
-      @Override
-      public void fail() {
-        response.complete("failed");
-      }
-
-      @Override
-      public void readPending() {}
-    })).sync();
+    loop.submit(() -> dispatcher.accept(head(), new byte[0], clock.now(), clock.now(),
+        new Exchange.Responder() {
+          @Override
+          public void serve(byte[] body) {
+            response.complete("served");
+          }
+
+          @Override
+          public void refuse(long retryInUs) {
+            response.complete("refused");
+          }
+
+          @Override
+          public void fail() {
+            response.complete("failed");
+          }
+
+          @Override
+          public void readPending() {}
+        })).sync();
     loop.scheduleAtFixedRate(dispatcher::failOverdueRequests, 0, 10, TimeUnit.MILLISECONDS);
     long start = clock.now();
     String outcome = response.get(20, TimeUnit.SECONDS);
@@ -105,7 +106,8 @@
       }
     });
     loop.submit(() -> {
-      Exchange exchange = dispatcher.accept(head(), new byte[0], clock.now(), new IgnoringResponder());
+      Exchange exchange = dispatcher.accept(head(), new byte[0], clock.now(), clock.now(),
+          new IgnoringResponder());
       dispatcher.beginShutdown(Long.MAX_VALUE);
       dispatcher.abandon(exchange);
     }).sync();
--- a/src/test/java/hollyslip/platform/SchedulerFixture.java
+++ b/src/test/java/hollyslip/platform/SchedulerFixture.java
@@ -20,11 +20,12 @@
       {"az":"a","balancers":1,"myNumber":0,"tick":0.002,"classes":[
        {"name":"get","effect":"pure","group":"all","window":5,"aim":10,"giveUp":20,"points":1,"lateValue":0.2},
        {"name":"put","effect":"token","group":"cell","window":20,"aim":10,"giveUp":20,"points":1},
-       {"name":"pay","effect":"side_effect","group":"cell","window":20,"aim":10,"giveUp":20,"points":1}],
+       {"name":"pay","effect":"side_effect","group":"cell","window":20,"aim":10,"giveUp":20,"points":1},
+       {"name":"move","effect":"token","group":"cell","window":20,"aim":10,"giveUp":20,"points":1,"byArrival":true}],
        "policies":[{"name":"gold","nominal":1000,"guaranteed":500,"proportion":1,"price":1}],
        "policyLimits":{"maxAttempts":3,"probes":true,"retryAfter":true,"maxRetryAfter":2,"dialTimeout":5,"idleClose":60},
        "rules":{"graceToAnswer":0.008,"drainGrace":1,"coldFrom":0.5,"cold":1,"fallMultiple":3,"fall":1},
-       "extra":{"unitMean":2,"mostUnits":6,"nShards":3,"changesData":[false,true,true]},
+       "extra":{"unitMean":2,"mostUnits":6,"nShards":3,"changesData":[false,true,true,true]},
        "stats":{"how":"answers","names":["recent_ms"]}}""";
 
   private static final int FREE_SOCKETS = 200, DEFAULT_MEMORY_MB = 192;
--- a/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
+++ b/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
@@ -95,6 +95,8 @@
     command.add(ProcessHandle.current().info().command().orElseThrow());
     for (String word : runCommand.split(" ")) {
       if (word.equals("-jar")) {
+        // As in the manifest of the jar.
+        command.add("--add-exports=java.base/sun.nio.ch=ALL-UNNAMED");
         command.add("-cp");
       } else if (word.endsWith(".jar")) {
         command.add(System.getProperty("java.class.path"));
