Free a removed volume's extents only when none of its writes may land

Cause: a removal gave the extents back once all requests were answered. A write whose attempt timed out may still be held by its node; the range lock that guards against it belongs to one lane, and the fences of the other lane spare the connection that carried it.

Change: removal and hand-over ask the same question (mayTakeEffect). A drain ends the socket when all is answered, and gives the extents back when nothing may take effect. What is in doubt after the longest deadline is fenced, so that a silent node keeps no space for ever.

--- a/src/main/java/hollyslip/admin/Provisioner.java
+++ b/src/main/java/hollyslip/admin/Provisioner.java
@@ -12,8 +12,9 @@
    * effect. */
   CompletableFuture<Void> serve(HostedVolume volume, Tenant tenant, VolumeChanged terms);
 
-  /** Stops accepting requests for a volume. The future completes when all its requests are answered and its
-   * resources are released. */
+  /** Stops accepting requests for a volume. The future completes when all its requests are answered, none of
+   * them can take effect any more, and its resources are released: its extents may then be given to another
+   * volume. */
   CompletableFuture<Void> drain(HostedVolume volume, Tenant tenant);
 
   /** Sets the state that administrators chose for a node. */
--- a/src/main/java/hollyslip/engine/Engine.java
+++ b/src/main/java/hollyslip/engine/Engine.java
@@ -111,6 +111,8 @@
    * longer, for a rate limit or an unavailable node, no longer keeps others out of the scheduler. Drawback:
    * the scheduler then holds more requests at a time. */
   private final long maxAdmittedUs;
+  /** Longest deadline of a class, us. */
+  private final long longestDeadlineUs;
   private volatile boolean stopping;
   private volatile boolean refusing;
   private volatile boolean frontsAwaitCapacity;
@@ -123,11 +125,29 @@
   /** Admitted requests in order of admission, each for at most {@link #maxAdmittedUs}. */
   private final ArrayDeque<ActiveRequest> admitted = new ArrayDeque<>();
 
+  /** Progress of a volume that is being removed.
+   *
+   * @param answered
+   *          completes when all its requests are answered
+   * @param settled
+   *          completes when, in addition, no write of it can take effect any more, so that its extents may be
+   *          given to another volume. This may take as long as a node is silent */
+  public record Drain(CompletableFuture<Void> answered, CompletableFuture<Void> settled) {
+    Drain() {
+      this(new CompletableFuture<>(), new CompletableFuture<>());
+    }
+
+    /** The drain of a volume that is not served. */
+    static Drain completed() {
+      return new Drain(CompletableFuture.completedFuture(null), CompletableFuture.completedFuture(null));
+    }
+  }
+
   /** State of a volume that is served here. */
   static final class VolumeState {
     private AdmissionQueue.Owner owner;
-    private CompletableFuture<Void> drained = new CompletableFuture<>();
-    private boolean draining;
+    /** Null if the volume is not being removed. */
+    private Drain drain;
     /** Requests accepted and not yet released; sub-requests that hold or wait for a block range. */
     private int activeRequests, lockingSubRequests;
     /** When an attempt last ended with an unknown effect. */
@@ -142,10 +162,12 @@
     /** Serves the volume for this owner, and ends a drain that was in progress. */
     void resumeWith(AdmissionQueue.Owner next) {
       owner = next;
-      if (draining) {
-        draining = false;
-        drained = new CompletableFuture<>();
-      }
+      drain = null;
+    }
+
+    /** Whether a request of this volume is still held here or may still take effect at a node. */
+    boolean mayTakeEffect() {
+      return activeRequests > 0 || lockingSubRequests > 0;
     }
   }
 
@@ -165,6 +187,12 @@
     config.settings().plans().forEach(p -> plansByName.put(p.name(), p));
     volumes.values().forEach(this::addVolume);
     maxAdmittedUs = config.settings().classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
+    longestDeadlineUs = config.settings()
+        .classes()
+        .stream()
+        .mapToLong(RequestClass::deadlineUs)
+        .max()
+        .orElseThrow();
     admissionQueue = new AdmissionQueue<>((int) Math.min(Integer.MAX_VALUE, config.maxRequests() / 2),
         ADMITTED_PER_NODE);
     limits = new InflightLimits(config.maxRequests(), config.maxBytes());
@@ -317,21 +345,39 @@
     return applied;
   }
 
-  /** Stops accepting requests for a volume: new ones are refused. Completes when all earlier ones are
-   * answered and no attempt for them is pending; at once for a volume that is not served. Thread-safe. */
-  public CompletableFuture<Void> drain(Volume volume) {
-    CompletableFuture<Void> done = new CompletableFuture<>();
-    mailbox.post(() -> {
-      VolumeState state = volumeStates.get(volume.id());
-      if (state == null) {
-        done.complete(null);
-        return;
-      }
-      state.draining = true;
-      state.drained.thenRun(() -> done.complete(null));
-      removeIfDrained(volume, state);
-    });
-    return done;
+  /** Stops accepting requests for a volume: new ones are refused. Writes that a node may still hold when no
+   * client can wait for them any more are fenced. Thread-safe. */
+  public Drain drain(Volume volume) {
+    Drain drain = new Drain();
+    mailbox.post(() -> startDrain(volume, drain));
+    return drain;
+  }
+
+  private void startDrain(Volume volume, Drain drain) {
+    VolumeState state = volumeStates.get(volume.id());
+    if (state == null) {
+      drain.answered.complete(null);
+      drain.settled.complete(null);
+      return;
+    }
+    if (state.drain == null) {
+      state.drain = drain;
+      timers.schedule(now + longestDeadlineUs, () -> fenceUnresolvedWrites(state, drain));
+    } else {
+      state.drain.answered.thenRun(() -> drain.answered.complete(null));
+      state.drain.settled.thenRun(() -> drain.settled.complete(null));
+    }
+    advanceDrain(volume, state);
+  }
+
+  /** A fence costs other volumes the connections that it closes, so it is not the first resort. */
+  private void fenceUnresolvedWrites(VolumeState state, Drain drain) {
+    if (state.drain == drain && !drain.settled.isDone()) {
+      rangeLocks.holders()
+          .stream()
+          .filter(holder -> holder.request.volumeState == state)
+          .forEach(holder -> holder.attempts.forEach(this::fenceIfUnresolved));
+    }
   }
 
   /** Releases a volume, for which no more requests may be offered, to another engine. Completes when every
@@ -352,7 +398,7 @@
   }
 
   private void completeHandOver(Volume volume, VolumeState state) {
-    if (state.handedOver == null || state.activeRequests > 0 || state.lockingSubRequests > 0) {
+    if (state.handedOver == null || state.mayTakeEffect()) {
       return;
     }
     long settledAt = state.lastUncertainAt + config.settings().rules().orderSettleUs();
@@ -365,12 +411,20 @@
     }
   }
 
-  /** Removes a draining volume once none of its requests is held. */
-  private void removeIfDrained(Volume volume, VolumeState state) {
-    if (state.draining && state.activeRequests == 0 && volumeStates.remove(volume.id(), state)) {
+  /** Reports that the requests of a draining volume are answered, and removes it once none of them can take
+   * effect any more: until then a node may hold a write that would land over the extents' next owner. */
+  private void advanceDrain(Volume volume, VolumeState state) {
+    Drain drain = state.drain;
+    if (drain == null) {
+      return;
+    }
+    if (state.activeRequests == 0) {
+      drain.answered.complete(null);
+    }
+    if (!state.mayTakeEffect() && volumeStates.remove(volume.id(), state)) {
       volumes.remove(volume.name());
       handleEvent(new HostScheduler.VolumeRemoved(volume.id()));
-      state.drained.complete(null);
+      drain.settled.complete(null);
     }
   }
 
@@ -458,7 +512,7 @@
   void accept(ActiveRequest request) {
     taken.increment();
     VolumeState state = volumeStates.get(request.volume.id());
-    if (state == null || state.draining || refusing) {
+    if (state == null || state.drain != null || refusing) {
       refuse(request, 0);
       return;
     }
@@ -710,6 +764,7 @@
       if (subRequest.countedAsLocking) {
         subRequest.countedAsLocking = false;
         subRequest.request.volumeState.lockingSubRequests--;
+        advanceDrain(subRequest.request.volume, subRequest.request.volumeState);
         completeHandOver(subRequest.request.volume, subRequest.request.volumeState);
       }
     }
@@ -812,7 +867,7 @@
       limits.release(request.io.dataBytes());
       if (request.volumeState != null) {
         request.volumeState.activeRequests--;
-        removeIfDrained(request.volume, request.volumeState);
+        advanceDrain(request.volume, request.volumeState);
         completeHandOver(request.volume, request.volumeState);
         releaseAdmission(request);
       }
--- a/src/main/java/hollyslip/engine/EngineLanes.java
+++ b/src/main/java/hollyslip/engine/EngineLanes.java
@@ -157,21 +157,22 @@
   }
 
   /** Like {@link Engine#drain}, on the volume's lane. */
-  public CompletableFuture<Void> drain(Volume volume) {
+  public Engine.Drain drain(Volume volume) {
     Route route = routes.get(volume.name());
     if (route == null) {
-      return CompletableFuture.completedFuture(null);
+      return Engine.Drain.completed();
     }
     synchronized (route) {
-      route.lastChange = route.lastChange.thenCompose(done -> {
+      CompletableFuture<Engine.Drain> started = route.lastChange.thenApply(done -> {
         synchronized (route) {
           return engines.get(route.lane).drain(volume);
         }
       });
-      return route.lastChange.thenRun(() -> {
+      route.lastChange = started.thenCompose(Engine.Drain::settled);
+      return new Engine.Drain(started.thenCompose(Engine.Drain::answered), route.lastChange.thenRun(() -> {
         routes.remove(volume.name(), route);
         volumes.remove(volume.name());
-      });
+      }));
     }
   }
 
--- a/src/main/java/hollyslip/engine/RangeLocks.java
+++ b/src/main/java/hollyslip/engine/RangeLocks.java
@@ -70,6 +70,11 @@
         .anyMatch(w -> overlaps(w, holder));
   }
 
+  /** The sub-requests that hold a range. */
+  List<SubRequest> holders() {
+    return shards.values().stream().flatMap(shard -> shard.held.values().stream()).toList();
+  }
+
   /** Number of sub-requests that hold or wait for a range. */
   int size() {
     return shards.values().stream().mapToInt(s -> s.held.size() + s.waiting.size()).sum();
--- a/src/main/java/hollyslip/gateway/HostedVolumes.java
+++ b/src/main/java/hollyslip/gateway/HostedVolumes.java
@@ -3,6 +3,7 @@
 import hollyslip.HostScheduler.NodeState;
 import hollyslip.HostScheduler.VolumeChanged;
 import hollyslip.admin.Provisioner;
+import hollyslip.engine.Engine;
 import hollyslip.engine.EngineLanes;
 import hollyslip.front.vhost.Acceptor;
 import hollyslip.front.vhost.VhostServer;
@@ -97,10 +98,7 @@
       // Every user may connect; users who are not members are rejected by the user ID that the kernel
       // reports.
       Files.setPosixFilePermissions(path, PosixFilePermissions.fromString("rw-rw-rw-"));
-      LOG.atInfo()
-          .addKeyValue("volume", qualifiedName(volume, tenant))
-          .addKeyValue("tenant", tenant.name())
-          .log("volume.served");
+      logVolumeEvent("volume.served", volume, tenant);
     } catch (IOException e) {
       throw new java.io.UncheckedIOException(e);
     }
@@ -108,16 +106,22 @@
 
   @Override
   public CompletableFuture<Void> drain(HostedVolume volume, Tenant tenant) {
-    return lanes.drain(toVolume(volume, tenant)).thenRunAsync(() -> {
+    Engine.Drain drain = lanes.drain(toVolume(volume, tenant));
+    CompletableFuture<Void> closed = drain.answered().thenRunAsync(() -> {
       VhostServer server = servers.remove(volume.id());
       if (server != null) {
         server.retire();
       }
-      LOG.atInfo()
-          .addKeyValue("volume", qualifiedName(volume, tenant))
-          .addKeyValue("tenant", tenant.name())
-          .log("volume.gone");
+      logVolumeEvent(drain.settled().isDone() ? "volume.gone" : "volume.gone-unsettled", volume, tenant);
     }, socketExecutor);
+    return closed.thenCombine(drain.settled(), (gone, settled) -> null);
+  }
+
+  private static void logVolumeEvent(String event, HostedVolume volume, Tenant tenant) {
+    LOG.atInfo()
+        .addKeyValue("volume", qualifiedName(volume, tenant))
+        .addKeyValue("tenant", tenant.name())
+        .log(event);
   }
 
   @Override
