Derive the limits of buffered bytes and connections from the heap too

Cause: limits of bytes followed memory_mb, and the limit of connections the descriptors, while the heap of the run line is 64 MB. Refusals that wait in a connection's queue were in no sum.

Change: Bounds takes the heap of the running process; the sum of what the limits allow leaves a quarter of it. Refusals that wait are counted, and a connection with a queue is not read while the limit is passed. A body that finds its connection's queue full is not kept. Up to 192 MB and 1,024 descriptors the limits stay as they were, but for rounding.

Tests: BufferLimitsTest, a sum over three heaps, five limits of memory and four of descriptors, and a crowd against a process; both fail without the change ("hold of", no answer for a usual request).

--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -3,7 +3,8 @@
 import java.io.File;
 
 /** Resource limits, not policy: how many file descriptors and bytes the client side and the disk server side
- * may use, so that neither exhausts what the other needs. Logged at the start under the names of the
+ * may use, so that neither exhausts what the other needs. What peers can make the process hold fits into its
+ * heap, whatever memory and descriptors are configured. Logged at the start under the names of the
  * components.
  *
  * @param clients
@@ -20,6 +21,15 @@
    * occasionally. */
   private static final int SPARE_DESCRIPTORS = 10;
 
+  /** Heap that one connection takes, bytes: its objects, an incomplete head and an open request. */
+  static final int CONNECTION_BYTES = 16 << 10;
+
+  /** Part of the heap that connections may take. */
+  private static final int HEAP_PER_CONNECTIONS = 4;
+
+  /** Part of the configured memory that each of the three groups of buffered bytes may take. */
+  private static final int MEMORY_PER_BYTES = 16;
+
   /** Longest request body, bytes, as the protocol defines it. */
   static final int MAX_REQUEST_BODY_BYTES = 64 << 10;
 
@@ -27,13 +37,16 @@
    * unbounded responses. */
   static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
 
-  /** Derives the limits from the descriptor limit, the descriptors already open and the memory limit. Clients
-   * get three quarters of the remaining descriptors: there are hundreds of them, some untrusted, while the
-   * scheduler keeps the attempts at a disk server to some tens. */
-  static Bounds of(int maxDescriptors, int openDescriptors, int memoryMb) {
-    int available = Math.max(8, maxDescriptors - openDescriptors - SPARE_DESCRIPTORS);
-    int clients = available * 3 / 4;
-    return new Bounds(clients, clients / 5, available - clients, memoryMb * (1L << 20) / 16);
+  /** Derives the limits from the descriptor limit, the descriptors already open, the memory limit and the
+   * size of the heap. Clients get three quarters of the connections: there are hundreds of them, some
+   * untrusted, while the scheduler keeps the attempts at a disk server to some tens. */
+  static Bounds of(int maxDescriptors, int openDescriptors, int memoryMb, long heapBytes) {
+    long available = Math.max(8, maxDescriptors - openDescriptors - SPARE_DESCRIPTORS);
+    int connections = (int) Math.min(available, heapBytes / HEAP_PER_CONNECTIONS / CONNECTION_BYTES);
+    int clients = connections * 3 / 4;
+    long memoryBytes = memoryMb * (1L << 20);
+    long bytes = Math.min(memoryBytes / MEMORY_PER_BYTES, heapBytes * 3 / 16);
+    return new Bounds(clients, clients / 5, connections - clients, bytes);
   }
 
   /** Number of file descriptors that the process has open now. */
--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -39,8 +39,8 @@
   /** Number of pending responses at which reading stops, and at which it resumes. */
   private static final int MAX_PENDING_RESPONSES = 4096, RESUME_PENDING_RESPONSES = 1024;
 
-  /** Memory counted for a queued request in addition to its body, bytes. */
-  private static final int QUEUED_REQUEST_OVERHEAD_BYTES = 1024;
+  /** Memory counted for a queued request in addition to its body, and for a queued error response, bytes. */
+  private static final int QUEUED_REQUEST_OVERHEAD_BYTES = 1024, QUEUED_ERROR_BYTES = 64;
 
   /** Maximum number of consecutive reads when pending input is read: a request and the end of the connection
    * after it take two. */
@@ -80,7 +80,7 @@
   /** Total bytes read, and how many of them were discarded. */
   private long bytesRead;
   private int discardedBytes, queuedInvalidRequests;
-  private boolean insideRead;
+  private boolean insideRead, readingPaused;
   private String closeReason = "client closed";
 
   ClientConnection(ClientConnectionManager manager, Channel channel) {
@@ -199,6 +199,9 @@
               .remoteAddress());
       accepted = item.rejectedWith(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
+    if (!accepted.isRequest()) {
+      manager.dispatcher().requestBytes().reserve(QUEUED_ERROR_BYTES);
+    }
     queued.add(accepted);
     queuedInvalidRequests += accepted.isInvalid() ? 1 : 0;
     if (current != null) {
@@ -206,25 +209,39 @@
       manager.dispatcher().shortenDeadline(current, accepted.respondBy());
     }
     processQueue();
-    if (queued.size() >= MAX_PENDING_RESPONSES) {
+    if (queued.size() >= MAX_PENDING_RESPONSES || !queued.isEmpty() && !hasRoomForRequests()) {
+      readingPaused = true;
       channel.config().setAutoRead(false);
     }
   }
 
+  private boolean hasRoomForRequests() {
+    return manager.dispatcher().requestBytes().hasRoom(0);
+  }
+
+  /** Whether a further request can be queued; if not, its body need not be kept. */
+  private boolean isQueueFull() {
+    return queued.size() >= MAX_QUEUED_REQUESTS;
+  }
+
   /** Reserves a queue slot and buffer space for a request; returns false if there is no room. */
   private boolean tryReserveQueueSlot(InboundRequest item) {
-    return queued.size() < MAX_QUEUED_REQUESTS && manager.dispatcher()
+    return !isQueueFull() && manager.dispatcher()
         .requestBytes()
         .tryReserve(QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length);
   }
 
   private InboundRequest dequeue() {
     InboundRequest item = queued.poll();
-    if (item.isRequest()) {
-      manager.dispatcher().requestBytes().release(QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length);
-    }
+    manager.dispatcher()
+        .requestBytes()
+        .release(item.isRequest()
+            ? QUEUED_REQUEST_OVERHEAD_BYTES + item.body().length
+            : QUEUED_ERROR_BYTES);
     queuedInvalidRequests -= item.isInvalid() ? 1 : 0;
-    if (queued.size() == RESUME_PENDING_RESPONSES && state.sendsResponses()) {
+    boolean mayResume = queued.isEmpty() || queued.size() <= RESUME_PENDING_RESPONSES && hasRoomForRequests();
+    if (readingPaused && mayResume && state.sendsResponses()) {
+      readingPaused = false;
       channel.config().setAutoRead(true);
     }
     return item;
@@ -448,6 +465,9 @@
       try {
         if (state.acceptsRequests() && message instanceof HttpRequest request) {
           assembler.startRequest(request, current == null && queued.isEmpty() && writeStartedAt < 0);
+          if (isQueueFull()) {
+            assembler.rejectTooMany();
+          }
         }
         if (state.acceptsRequests() && message instanceof HttpContent content) {
           InboundRequest complete = assembler.addContent(content, arrivedAt);
--- a/src/main/java/hollyslip/platform/RequestAssembler.java
+++ b/src/main/java/hollyslip/platform/RequestAssembler.java
@@ -26,6 +26,8 @@
   /** Head of the current request, or the error to respond with, and the body received so far. */
   private RequestHead head;
   private HttpResponseStatus errorStatus;
+  /** Head of a valid request that is refused; null if there is none. */
+  private RequestHead refusedHead;
   private final BudgetedBuffer body;
   private boolean closeAfterResponse;
 
@@ -67,14 +69,30 @@
     }
   }
 
+  /** Refuses the current request, if it is valid, as too many of its connection are waiting. */
+  void rejectTooMany() {
+    if (head != null) {
+      manager.log()
+          .event("request.too-many-at-once", "id", head.transactionId(), "client", channel.remoteAddress());
+      refuse();
+    }
+  }
+
+  /** Refuses the current request; its body is not kept. */
+  private void refuse() {
+    RequestHead refused = head;
+    reset();
+    refusedHead = refused;
+    errorStatus = HttpResponseStatus.SERVICE_UNAVAILABLE;
+  }
+
   /** Rejects the request; the rest of its body is not kept. */
   private void rejectForLackOfSpace() {
     manager.log()
         .event("request.no-space", "id", head.transactionId(), "held", manager.dispatcher()
             .requestBytes()
             .used(), "client", channel.remoteAddress());
-    reset();
-    errorStatus = HttpResponseStatus.SERVICE_UNAVAILABLE;
+    refuse();
   }
 
   private void reject(RequestHead.RequestRejectedException e) throws FramingException {
@@ -103,13 +121,19 @@
       return null;
     }
     InboundRequest complete = errorStatus != null
-        ? InboundRequest.rejected(errorStatus, receivedAt
-            + ClientConnectionManager.ERROR_RESPONSE_DEADLINE_US, closeAfterResponse)
+        ? InboundRequest.rejected(errorStatus, errorDeadline(receivedAt), closeAfterResponse)
         : completeRequest(receivedAt);
     reset();
     return complete;
   }
 
+  /** When an error is due: the deadline of the client, if the request says so. */
+  private long errorDeadline(long receivedAt) {
+    return refusedHead != null
+        ? manager.dispatcher().responseDeadline(refusedHead, receivedAt)
+        : receivedAt + ClientConnectionManager.ERROR_RESPONSE_DEADLINE_US;
+  }
+
   private InboundRequest completeRequest(long receivedAt) {
     if (!head.write() && body.size() > 0) {
       manager.log().event("request.bad", "reason", "body of a read", "client", channel.remoteAddress());
@@ -126,6 +150,7 @@
   /** Discards the current partial request. */
   void reset() {
     head = null;
+    refusedHead = null;
     errorStatus = null;
     body.release();
   }
--- a/src/main/java/hollyslip/platform/SchedulerProcess.java
+++ b/src/main/java/hollyslip/platform/SchedulerProcess.java
@@ -73,7 +73,7 @@
     group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
     loop = (EventLoop) group.next();
     Bounds bounds = Bounds.of(configuration.maxDescriptors(), Bounds.openDescriptors(),
-        configuration.memoryMb());
+        configuration.memoryMb(), Runtime.getRuntime().maxMemory());
     diskPool = new DiskConnectionPool(loop, clock, log, bounds.disks(), new ByteBudget(bounds.bytes()),
         configuration.settings().allowed().connectTimeoutUs(), configuration.diskIdleTimeoutUs());
     TokenBorrowingScheduler scheduler = new TokenBorrowingScheduler(configuration.settings());
--- a/src/test/java/hollyslip/platform/BufferLimitsTest.java
+++ b/src/test/java/hollyslip/platform/BufferLimitsTest.java
@@ -36,6 +36,10 @@
   /** Clients that each write many invalid requests behind an open one, and for how long. */
   private static final int FLOODING_CLIENTS = 200, PIPELINED_REQUESTS = 20_000, FLOOD_MS = 1000;
 
+  /** A crowd whose queued bodies exceed the heap of the run line, under limits that would allow them. */
+  private static final int LARGE_MEMORY_MB = 2048, SOCKETS_OF_LARGE_LIMITS = 4096, CROWD_CLIENTS = 60,
+      CROWD_REQUESTS = 100;
+
   /** How long a request waits, and how late its answer may be before it counts as lost, ms. */
   private static final int WAIT_MS = 1000, MAX_LATENESS_MS = 500;
 
@@ -166,17 +170,48 @@
     Matcher heap = Pattern.compile("exec java .*-Xmx([0-9]+)m .* platform\"")
         .matcher(Files.readString(Path.of("deploy/balancer.toml")));
     assertTrue(heap.find());
-    long heapBytes = Long.parseLong(heap.group(1)) << 20;
+    long runLineHeapBytes = Long.parseLong(heap.group(1)) << 20;
     long perConnection = HttpHeadValidator.MAX_HEAD_BYTES + ReceiveBuffers.MAX_UNUSED_BYTES;
-    for (int memoryMb : new int[]{128, 192}) {
-      for (int descriptors : new int[]{256, 1024}) {
-        Bounds bounds = Bounds.of(descriptors, 0, memoryMb);
-        long held = 3 * bounds.bytes() + perConnection * (bounds.clients() + bounds.disks());
-        assertTrue(held <= heapBytes / 4 * 3, bounds + " hold " + held);
+    for (long heapBytes : new long[]{runLineHeapBytes / 2, runLineHeapBytes, 4 * runLineHeapBytes}) {
+      for (int memoryMb : new int[]{128, 192, 800, 2048, 1 << 20}) {
+        for (int descriptors : new int[]{256, 1024, 4096, 1 << 20}) {
+          Bounds bounds = Bounds.of(descriptors, 0, memoryMb, heapBytes);
+          long held = 3 * bounds.bytes() + perConnection * (bounds.clients() + bounds.disks());
+          assertTrue(held <= heapBytes / 4 * 3, bounds + " hold " + held + " of " + heapBytes);
+        }
       }
     }
   }
 
+  /** A crowd with whole bodies, at a memory limit far above the heap, must not end the process (review/8). */
+  @Test
+  void aCrowdWithBodiesDoesNotEndAProcessWhoseMemoryLimitExceedsItsHeap() throws Exception {
+    try (SchedulerProcessFixture fixture = new SchedulerProcessFixture(SOCKETS_OF_LARGE_LIMITS,
+        LARGE_MEMORY_MB)) {
+      fixture.startEcho();
+      for (int i = 0; i < CROWD_CLIENTS; i++) {
+        int number = i;
+        SchedulerFixture.Client client = fixture.client();
+        clients.add(client);
+        Thread writer = new Thread(() -> writeBodies(client.socket, number), "client with bodies");
+        writer.setDaemon(true);
+        writer.start();
+      }
+      Thread.sleep(FLOOD_MS);
+      assertUsualRequestIsAnswered(fixture);
+      for (SchedulerFixture.Client client : clients) {
+        assertNotEquals(0, client.readStatus(), "the first request of each must be answered");
+      }
+      assertUsualRequestIsAnswered(fixture);
+    }
+  }
+
+  private static void writeBodies(Socket socket, int client) {
+    for (int i = 0; i < CROWD_REQUESTS; i++) {
+      writeUntilClosed(socket, write("c" + client + "-" + i).getBytes(StandardCharsets.ISO_8859_1));
+    }
+  }
+
   @Test
   void aBudgetAsksForRoomBeforeItRefuses() {
     ByteBudget budget = new ByteBudget(100);
--- a/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
+++ b/src/test/java/hollyslip/platform/SchedulerProcessFixture.java
@@ -36,6 +36,8 @@
        "extra":{"unitMean":2,"mostUnits":6,"nShards":4,"changesData":[false,false,true,true]},
        "stats":{"how":"answers","names":["recent_ms"]}}""";
 
+  private static final int DEFAULT_MEMORY_MB = 192;
+
   /** Number of shards in a soak test, each at a disk server of its own. */
   static final int SOAK_SHARDS = 4;
 
@@ -56,9 +58,19 @@
     this(sockets, environment, List.of());
   }
 
+  /** With a limit of {@code sockets} descriptors and one of memory. */
+  SchedulerProcessFixture(int sockets, int memoryMb) throws IOException {
+    this(sockets, memoryMb, Map.of(), List.of());
+  }
+
   /** With shards at the given addresses, in order, instead of shard 0 at {@link #diskServer}. */
   SchedulerProcessFixture(int sockets, Map<String, String> environment, List<String> shards)
       throws IOException {
+    this(sockets, DEFAULT_MEMORY_MB, environment, shards);
+  }
+
+  private SchedulerProcessFixture(int sockets, int memoryMb, Map<String, String> environment,
+      List<String> shards) throws IOException {
     List<String> addresses = shards.isEmpty() ? List.of(diskServer.address()) : shards;
     String[] entries = new String[addresses.size()];
     for (int i = 0; i < entries.length; i++) {
@@ -67,8 +79,9 @@
     }
     Files.writeString(configFile, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
         .address()
-        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
-        + sockets + "},\"known\":" + SchedulerFixture.nodeListJson(41, true, entries) + ",\"settings\":"
+        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb
+        + ",\"sockets\":" + sockets + "},\"known\":" + SchedulerFixture.nodeListJson(41, true, entries)
+        + ",\"settings\":"
         + SETTINGS
         + "}");
     ProcessBuilder builder = new ProcessBuilder(command()).redirectErrorStream(true);
