Hold writes of a key until long bodies before them are read whole

What callers saw: after a hold-up, a short write of a key ran before a long one that had come 50 ms earlier on a new connection.

Cause: ReadBarrier took two iterations of the event loop for enough, but one iteration reads only so much of a connection, so that a body of 64 KiB takes several.

Change: a read that fills its buffer says that more may be left, as accepting does where it ends at its limit.

Without the change: "expected: <first> but was: <second>"; with it all of KeyOrderTest is green.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -416,7 +416,11 @@
   private final class InboundBytesHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      int count = ((ByteBuf) message).readableBytes();
+      ByteBuf bytes = (ByteBuf) message;
+      int count = bytes.readableBytes();
+      if (!bytes.isWritable()) {
+        manager.dispatcher().keyOrder().inputLeft();
+      }
       long readAt = manager.now();
       arrivedAt = bytesRead == 0
           ? Math.min(queuedSince, readAt)
--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -159,7 +159,7 @@
       acceptQueueDrained = acceptedInRead < MAX_ACCEPTS_PER_READ && listener.config().isAutoRead();
       if (!acceptQueueDrained) {
         arrivalTimes.acceptingStopped(now());
-        dispatcher.keyOrder().connectionsLeftInQueue();
+        dispatcher.keyOrder().inputLeft();
       }
       acceptedInRead = 0;
       ctx.fireChannelReadComplete();
--- a/src/main/java/hollyslip/platform/KeyOrderBuffer.java
+++ b/src/main/java/hollyslip/platform/KeyOrderBuffer.java
@@ -53,9 +53,9 @@
     held.remove(exchange);
   }
 
-  /** See {@link ReadBarrier#connectionsLeftInQueue}. */
-  void connectionsLeftInQueue() {
-    readBarrier.connectionsLeftInQueue();
+  /** See {@link ReadBarrier#inputLeft}. */
+  void inputLeft() {
+    readBarrier.inputLeft();
   }
 
   private void awaitBarrier() {
--- a/src/test/java/hollyslip/platform/KeyOrderTest.java
+++ b/src/test/java/hollyslip/platform/KeyOrderTest.java
@@ -147,6 +147,19 @@
     assertRunInOrder();
   }
 
+  /** A long body takes several iterations of the event loop to be read. */
+  @Test
+  void aLongWriteOnANewConnectionRunsBeforeALaterShortOneOnAKeptConnection() throws Exception {
+    SchedulerFixture.Client kept = kept();
+    try (AutoCloseable heldUp = fixture.blockEventLoop()) {
+      connect().send(SchedulerFixture.writeRequest("move", "first", "first", "x".repeat(
+          Bounds.MAX_REQUEST_BODY_BYTES)));
+      pause();
+      kept.send(write("second"));
+    }
+    assertRunInOrder();
+  }
+
   /** A client that leaves while its write is held for order has no effect, and holds nobody up. */
   @Test
   void aClientThatLeavesDuringTheHoldUpIsNotServed() throws Exception {
