--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -260,12 +260,15 @@
    * that sockets and timers get their turn. */
   private void handleEvents() {
     long handleUntil = clock.now() + MAX_HANDLING_US;
-    while (!pendingEvents.isEmpty() && clock.now() < handleUntil) {
-      handleEvent(pendingEvents.poll());
-    }
-    handlingScheduled = !pendingEvents.isEmpty();
-    if (handlingScheduled) {
-      ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(this::handleEvents));
+    try {
+      while (!pendingEvents.isEmpty() && clock.now() < handleUntil) {
+        handleEvent(pendingEvents.poll());
+      }
+    } finally {
+      handlingScheduled = !pendingEvents.isEmpty();
+      if (handlingScheduled) {
+        ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(this::handleEvents));
+      }
     }
   }
 
--- a/src/test/java/hollyslip/platform/RequestDispatcherTest.java
+++ b/src/test/java/hollyslip/platform/RequestDispatcherTest.java
@@ -92,6 +92,25 @@
     }));
   }
 
+  /** An error that ends the handling of one event must not keep later events from the scheduler. */
+  @Test
+  void laterRequestsReachASchedulerThatEndedWithAnError() throws Exception {
+    CompletableFuture<Long> reached = new CompletableFuture<>();
+    RequestDispatcher dispatcher = dispatcher((now, event, out) -> {
+      if (event instanceof HostScheduler.Request request) {
+        if (request.id() == 1) {
+          throw new StackOverflowError("simulated");
+        }
+        reached.complete(request.id());
+      }
+    });
+    for (int i = 0; i < 2; i++) {
+      loop.submit(() -> dispatcher.accept(head(), new byte[0], clock.now(), clock.now(),
+          new IgnoringResponder())).sync();
+    }
+    assertEquals(2, reached.get(20, TimeUnit.SECONDS));
+  }
+
   /** A client leaves while an event is pending at which the scheduler sends its request: the scheduler learns
    * that nothing was sent. Else it counts an attempt for ever, and later requests of that key, in a class
    * that asks for order, wait for it until they are refused. */
