Log when a client's end was seen, repeats, and counters of the process

Change: request.retried; client.closed with read and end_hidden_ms; node.counters and node.held every 5 s; request.too-many-at-once once for each time that a connection's queue fills, not for each request.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -72,6 +72,7 @@
   private boolean insideRead, readingPaused;
   /** Whether input is read only when {@link #readThrottled} is called. */
   private boolean throttled;
+  private final UnreadInput unreadInput = new UnreadInput();
   private String closeReason = "client closed";
 
   ClientConnection(ClientConnectionManager manager, Channel channel) {
@@ -169,6 +170,9 @@
   private void throttleIfQueueIsFull() {
     if (!throttled && mayBeThrottled()) {
       throttled = true;
+      manager.log()
+          .event("request.too-many-at-once", "client", channel.remoteAddress(), "open", openTransaction(),
+              "waiting", queued.pendingResponses());
       channel.config().setAutoRead(false);
       manager.throttle(this);
     }
@@ -212,9 +216,7 @@
   private void enqueue(InboundRequest item) {
     InboundRequest added = queued.add(item);
     if (added != item) {
-      manager.log()
-          .event("request.too-many-at-once", "id", item.head().transactionId(), "client", channel
-              .remoteAddress());
+      manager.metrics().increment(ProcessMetrics.Counter.TOO_MANY);
     }
     if (current != null) {
       // Responses are sent in order: the open request must end before the new one is due.
@@ -426,22 +428,28 @@
     if (current != null || !queued.isEmpty() || decoder.hasPartialRequest() || discardedBytes > 0) {
       manager.log()
           .event("client.closed", "client", channel.remoteAddress(), "reason", closeReason, "state", state,
-              "open", current == null ? "none" : current.head.transactionId(), "waiting", queued
-                  .pendingResponses(),
-              "partial", decoder.hasPartialRequest(), "dropped", discardedBytes);
+              "open", openTransaction(), "waiting", queued.pendingResponses(), "partial", decoder
+                  .hasPartialRequest(),
+              "read", bytesRead, "dropped", discardedBytes, "end_hidden_ms", unreadInput.endHiddenForUs(
+                  manager.now()) / 1000);
     }
   }
 
+  private String openTransaction() {
+    return current == null ? "none" : current.head.transactionId();
+  }
+
   /** Handles received bytes before the decoder. */
   private final class InboundBytesHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       ByteBuf bytes = (ByteBuf) message;
       int count = bytes.readableBytes();
-      if (!bytes.isWritable()) {
+      long readAt = manager.now();
+      unreadInput.read(!bytes.isWritable(), readAt);
+      if (unreadInput.mayBeLeft()) {
         manager.dispatcher().keyOrder().inputLeft();
       }
-      long readAt = manager.now();
       arrivedAt = bytesRead == 0
           ? Math.min(queuedSince, readAt)
           : manager.arrivalTimes().earliestArrival(readAt);
--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -80,6 +80,7 @@
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final EventLog log;
+  private final ProcessMetrics metrics;
   private final RequestDispatcher dispatcher;
   private final RequestHead.Parser headParser;
   private final int maxConnections, maxIdleConnections;
@@ -105,11 +106,12 @@
   /** Connections closed since the queue was last shed. */
   private int shedCount;
 
-  ClientConnectionManager(EventLoop loop, MonotonicClock clock, EventLog log, RequestDispatcher dispatcher,
-      RequestHead.Parser headParser, Bounds bounds) {
+  ClientConnectionManager(EventLoop loop, MonotonicClock clock, EventLog log, ProcessMetrics metrics,
+      RequestDispatcher dispatcher, RequestHead.Parser headParser, Bounds bounds) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
+    this.metrics = metrics;
     this.dispatcher = dispatcher;
     this.headParser = headParser;
     unsentBytes = new ByteBudget(bounds.bytes());
@@ -273,6 +275,10 @@
     return log;
   }
 
+  ProcessMetrics metrics() {
+    return metrics;
+  }
+
   boolean ready() {
     return ready && !draining;
   }
@@ -320,6 +326,11 @@
     return openConnections.size();
   }
 
+  /** Number of connections that are read in turn. */
+  int throttledCount() {
+    return throttled.size();
+  }
+
   void connectionClosed(ClientConnection connection) {
     openConnections.remove(connection);
     if (atCapacity && openConnections.size() < maxConnections) {
--- a/src/main/java/hollyslip/platform/RequestAssembler.java
+++ b/src/main/java/hollyslip/platform/RequestAssembler.java
@@ -81,9 +81,7 @@
 
   private void refuseTooMany(HttpRequest request) throws RequestHead.RequestRejectedException {
     long remainingUs = manager.headParser().parseRemainingOfRefused(request);
-    manager.log()
-        .event("request.too-many-at-once", "id", request.headers().get("X-Txn"), "client", channel
-            .remoteAddress());
+    manager.metrics().increment(ProcessMetrics.Counter.TOO_MANY);
     refuse(remainingUs);
   }
 
--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import hollyslip.HostScheduler.NodeState;
 import hollyslip.HostScheduler.Result;
 import hollyslip.HostScheduler.Settings;
+import hollyslip.platform.ProcessMetrics.Counter;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -48,6 +49,7 @@
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final EventLog log;
+  private final ProcessMetrics metrics;
   private final DiskConnectionPool diskPool;
   private final LoadReportParser reportParser;
   /** Limits the bytes of requests: partly received, queued and open ones. */
@@ -67,12 +69,13 @@
   private long shutdownDeadline = Long.MAX_VALUE;
 
   RequestDispatcher(HostScheduler scheduler, Settings settings, EventLoop loop, MonotonicClock clock,
-      EventLog log, DiskConnectionPool diskPool, ByteBudget requestBytes) {
+      EventLog log, ProcessMetrics metrics, DiskConnectionPool diskPool, ByteBudget requestBytes) {
     this.scheduler = scheduler;
     this.settings = settings;
     this.loop = loop;
     this.clock = clock;
     this.log = log;
+    this.metrics = metrics;
     this.diskPool = diskPool;
     this.requestBytes = requestBytes;
     reportParser = new LoadReportParser(settings);
@@ -128,6 +131,7 @@
       Exchange.Responder responder) {
     long deadline = Math.min(responseDeadline(head.remainingUs(), receivedAt), shutdownDeadline);
     Exchange exchange = new Exchange(head, body, ++lastRequestId, clock.now(), deadline, responder);
+    metrics.increment(Counter.ACCEPTED);
     byTransactionId.put(head.transactionId(), exchange);
     byRequestId.put(exchange.requestId, exchange);
     requestBytes.reserve(body.length);
@@ -167,6 +171,7 @@
   void abandon(Exchange exchange) {
     if (!exchange.completed()) {
       logCompletion("request.abandoned", exchange);
+      metrics.increment(Counter.ABANDONED);
       exchange.abandon();
       withdraw(exchange);
       removeIfDone(exchange);
@@ -331,6 +336,7 @@
           exchange.completed(), 0, 0, 0, null));
       return;
     }
+    countAttempt(exchange, attempt, server);
     exchange.attemptsOutstanding++;
     long latest = Math.min(exchange.deadline(), shutdownDeadline);
     long timeoutAt = send.timeoutAt() > 0 ? Math.min(send.timeoutAt(), latest) : latest;
@@ -347,6 +353,16 @@
     diskPool.start(call);
   }
 
+  private void countAttempt(Exchange exchange, int attempt, DiskServer server) {
+    metrics.increment(Counter.ATTEMPTS);
+    if (attempt > 0) {
+      metrics.increment(Counter.RETRIES);
+      log.event("request.retried", "id", exchange.head.transactionId(), "attempt", attempt, "server",
+          server.host, "waited_ms", (clock.now() - exchange.acceptedAt) / 1000, "out",
+          exchange.attemptsOutstanding);
+    }
+  }
+
   /** Draining disk servers get no attempts. Their grace period is not used, as it may have begun before the
    * update that announced the drain arrived. */
   private static boolean acceptsAttempts(DiskServer server) {
--- a/src/main/java/hollyslip/platform/SchedulerProcess.java
+++ b/src/main/java/hollyslip/platform/SchedulerProcess.java
@@ -42,6 +42,9 @@
   /** How long the process waits at its end for the last log lines to be written, ms. */
   private static final long LOG_FLUSH_TIMEOUT_MS = 50;
 
+  /** Interval of the lines that report counters and what is held, s. */
+  private static final int METRICS_INTERVAL_S = 5;
+
   private final Configuration configuration;
   private final Map<String, String> environment;
   private final EventLog log;
@@ -49,6 +52,7 @@
   private final EventLoop loop;
   private final MonotonicClock clock = new MonotonicClock();
   private final CountDownLatch terminated = new CountDownLatch(1);
+  private final ProcessMetrics metrics = new ProcessMetrics();
   private final DiskConnectionPool diskPool;
   private final RequestDispatcher dispatcher;
   private final ClientConnectionManager connectionManager;
@@ -77,9 +81,10 @@
     diskPool = new DiskConnectionPool(loop, clock, log, bounds.disks(), new ByteBudget(bounds.bytes()),
         configuration.settings().allowed().connectTimeoutUs(), configuration.diskIdleTimeoutUs());
     TokenBorrowingScheduler scheduler = new TokenBorrowingScheduler(configuration.settings());
-    dispatcher = new RequestDispatcher(scheduler, configuration.settings(), loop, clock, log, diskPool,
+    dispatcher = new RequestDispatcher(scheduler, configuration.settings(), loop, clock, log, metrics,
+        diskPool,
         new ByteBudget(bounds.bytes()));
-    connectionManager = new ClientConnectionManager(loop, clock, log, dispatcher,
+    connectionManager = new ClientConnectionManager(loop, clock, log, metrics, dispatcher,
         new RequestHead.Parser(configuration.settings(), configuration.shardCount()), bounds);
     long version = configuration.knownEndpoints() == null ? -1 : configuration.knownEndpoints().version();
     discovery = new DiscoveryClient(loop, clock, log, watchRetryPolicy, discoveryAddress, version,
@@ -95,6 +100,8 @@
         .localAddress();
     loop.schedule(this::markReady, DISCOVERY_WAIT_MS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(log.guarded(diskPool::closeAllExpired), 1, 1, TimeUnit.SECONDS);
+    loop.scheduleAtFixedRate(log.guarded(this::logMetrics), METRICS_INTERVAL_S, METRICS_INTERVAL_S,
+        TimeUnit.SECONDS);
     if (environment.containsKey("HOLLYSLIP_TRACE")) {
       DiskServerTrace trace = new DiskServerTrace(out);
       loop.execute(() -> dispatcher.setTrace(trace));
@@ -238,6 +245,15 @@
     loop.execute(this::drain);
   }
 
+  private void logMetrics() {
+    log.event("node.counters", metrics.takeReport());
+    Runtime runtime = Runtime.getRuntime();
+    log.event("node.held", "connections", connectionManager.connectionCount(), "throttled", connectionManager
+        .throttledCount(), "open", dispatcher.openRequestCount(), "request_bytes", dispatcher.requestBytes()
+            .used(), "disk_connections", diskPool.connectionCount(), "heap_mb", (runtime.totalMemory()
+                - runtime.freeMemory()) >> 20);
+  }
+
   /** Number of open client connections. */
   int clientConnectionCount() {
     return connectionManager.connectionCount();
--- a/src/test/java/hollyslip/platform/RequestDispatcherTest.java
+++ b/src/test/java/hollyslip/platform/RequestDispatcherTest.java
@@ -38,7 +38,8 @@
     Settings settings = JsonSettingsParser.parse(5, new ObjectMapper().readTree(SchedulerFixture.SETTINGS));
     DiskConnectionPool disks = new DiskConnectionPool(loop, clock, log, 10, new ByteBudget(1 << 20),
         1_000_000, 0);
-    return new RequestDispatcher(scheduler, settings, loop, clock, log, disks, new ByteBudget(1 << 20));
+    return new RequestDispatcher(scheduler, settings, loop, clock, log, new ProcessMetrics(), disks,
+        new ByteBudget(1 << 20));
   }
 
   private static RequestHead head() {
--- a/src/test/java/hollyslip/platform/ScriptedServer.java
+++ b/src/test/java/hollyslip/platform/ScriptedServer.java
@@ -126,6 +126,11 @@
     return request;
   }
 
+  /** Waits up to {@code ms} for the next request and takes it; null if none came. */
+  ReceivedRequest pollRequest(long ms) throws InterruptedException {
+    return received.poll(Math.max(0, ms), TimeUnit.MILLISECONDS);
+  }
+
   /** From now on, responds to each request with the id of the request. */
   void startEcho() {
     startDaemon(() -> {
