Send nothing for a client whose end may stand behind unread input

Cause: reading stopped at 4,096 owed answers, at the limit of bytes, or 1 MiB after an error, and the end of a connection stands behind its input; an attempt was begun by what had been read.

--- a/src/main/java/hollyslip/platform/Exchange.java
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -14,9 +14,16 @@
 
     void fail();
 
-    /** Reads all pending input from the client. If this shows that the client has disconnected,
-     * {@link RequestDispatcher#abandon} is called before this method returns. */
-    void readPending();
+    /** Reads pending input from the client. If this shows that the client has disconnected,
+     * {@link RequestDispatcher#abandon} is called before this method returns. Returns whether all of it was
+     * read: the end of a connection stands behind its input. */
+    boolean readToEnd();
+  }
+
+  /** Whether something may still be sent for a request. {@code CLIENT_UNKNOWN}: it is open, but its client
+   * may have disconnected behind input that was not read yet. */
+  enum SendState {
+    OPEN, ENDED, CLIENT_UNKNOWN
   }
 
   final RequestHead head;
@@ -58,12 +65,13 @@
     return completed;
   }
 
-  /** Reads all pending input from the client, then returns whether the request is still open. */
-  boolean isStillOpen() {
-    if (!completed) {
-      responder.readPending();
+  /** Reads pending input from the client, then returns whether something may be sent now. */
+  SendState checkSendState() {
+    boolean clientKnown = completed || responder.readToEnd();
+    if (completed) {
+      return SendState.ENDED;
     }
-    return !completed;
+    return clientKnown ? SendState.OPEN : SendState.CLIENT_UNKNOWN;
   }
 
   void abandon() {
--- a/src/main/java/hollyslip/platform/InboundRequest.java
+++ b/src/main/java/hollyslip/platform/InboundRequest.java
@@ -26,9 +26,6 @@
     long respondBy, HttpResponseStatus errorStatus, boolean closeAfterResponse, int count) {
   private static final byte[] EMPTY_BODY = {};
 
-  /** Limit of {@link #count}, and so of the size of their responses. */
-  private static final int MAX_COUNT = 64;
-
   static InboundRequest rejected(HttpResponseStatus status, long respondBy, boolean closeAfterResponse) {
     return new InboundRequest(null, EMPTY_BODY, 0, 0, respondBy, status, closeAfterResponse, 1);
   }
@@ -42,17 +39,24 @@
     return errorStatus != null && errorStatus.codeClass() == HttpStatusClass.CLIENT_ERROR;
   }
 
-  /** This item and another one that is answered next; null if their responses differ, or if they are too
-   * many. */
+  /** This item and another one that is answered next; null if their responses differ. */
   InboundRequest mergedWith(InboundRequest next) {
     boolean alike = errorStatus != null && errorStatus.equals(next.errorStatus) && !closeAfterResponse
-        && !next.closeAfterResponse && count + next.count <= MAX_COUNT;
+        && !next.closeAfterResponse;
     return alike
         ? new InboundRequest(null, EMPTY_BODY, 0, 0, Math.min(respondBy, next.respondBy), errorStatus, false,
             count + next.count)
         : null;
   }
 
+  /** The same for another number of requests. */
+  InboundRequest withCount(int newCount) {
+    return newCount == count
+        ? this
+        : new InboundRequest(head, body, receivedAt, arrivedAt, respondBy, errorStatus, closeAfterResponse,
+            newCount);
+  }
+
   /** An error response to this request, which is not served. */
   InboundRequest rejectedWith(HttpResponseStatus status) {
     return rejected(status, respondBy, closeAfterResponse);
--- a/src/main/java/hollyslip/platform/ProcessMetrics.java
+++ b/src/main/java/hollyslip/platform/ProcessMetrics.java
@@ -12,8 +12,9 @@
     ABANDONED,
     /** Requests refused as too many of their connection were waiting. */
     TOO_MANY,
-    /** Attempts started, and those of them that were not the first of their request. */
-    ATTEMPTS, RETRIES
+    /** Attempts started, those of them that were not the first of their request, and those that were not sent
+     * as their client may have disconnected. */
+    ATTEMPTS, RETRIES, WITHHELD
   }
 
   private static final Counter[] COUNTERS = Counter.values();
--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -342,8 +342,8 @@
     long timeoutAt = send.timeoutAt() > 0 ? Math.min(send.timeoutAt(), latest) : latest;
     long startedAtUs = server.startedAtUs;
     Call call = new Call(server, now, timeoutAt, waitUs -> encodeAttempt(exchange, server, waitUs),
-        () -> exchange.isStillOpen() && clock.now() <= send.startBy() && server.startedAtUs == startedAtUs
-            && acceptsAttempts(server),
+        () -> mayForward(exchange, attempt) && clock.now() <= send.startBy()
+            && server.startedAtUs == startedAtUs && acceptsAttempts(server),
         (result, latencyUs, headers, body) -> attemptEnded(exchange, attempt, server, result, latencyUs,
             headers, body));
     callsByRequest.computeIfAbsent(exchange.requestId, k -> new HashMap<>()).put(attempt, call);
@@ -353,6 +353,18 @@
     diskPool.start(call);
   }
 
+  /** Whether a request is open and its client has not disconnected. While that is not known, nothing is sent
+   * for it; the scheduler may try again. */
+  private boolean mayForward(Exchange exchange, int attempt) {
+    Exchange.SendState state = exchange.checkSendState();
+    if (state == Exchange.SendState.CLIENT_UNKNOWN) {
+      metrics.increment(Counter.WITHHELD);
+      log.event("attempt.withheld", "id", exchange.head.transactionId(), "attempt", attempt, "reason",
+          "input of its client is unread");
+    }
+    return state == Exchange.SendState.OPEN;
+  }
+
   private void countAttempt(Exchange exchange, int attempt, DiskServer server) {
     metrics.increment(Counter.ATTEMPTS);
     if (attempt > 0) {
--- a/src/main/java/hollyslip/platform/RequestQueue.java
+++ b/src/main/java/hollyslip/platform/RequestQueue.java
@@ -14,8 +14,8 @@
    * the responses. */
   private static final int MAX_INVALID_REQUESTS = 32;
 
-  /** Number of pending responses at which reading is to stop, and at which it may resume. */
-  private static final int MAX_PENDING_RESPONSES = 4096, RESUME_PENDING_RESPONSES = 1024;
+  /** Items that may wait: the requests, the invalid ones, and refusals between them. */
+  private static final int MAX_ITEMS = MAX_REQUESTS + 2 * MAX_INVALID_REQUESTS;
 
   /** Memory counted for a request in addition to its body, and for an error response, bytes. */
   private static final int REQUEST_OVERHEAD_BYTES = 1024, ERROR_BYTES = 64;
@@ -48,14 +48,10 @@
     return invalidRequests >= MAX_INVALID_REQUESTS;
   }
 
-  /** Whether so much is pending that reading should stop. */
-  boolean shouldPauseReading() {
-    return pendingResponses >= MAX_PENDING_RESPONSES || !items.isEmpty() && !budget.hasRoom(0);
-  }
-
-  /** Whether reading that was stopped may go on. */
-  boolean mayResumeReading() {
-    return items.isEmpty() || pendingResponses <= RESUME_PENDING_RESPONSES && budget.hasRoom(0);
+  /** Whether the connection should take no more input. Any number of equal refusals takes one item, so this
+   * needs a client that alternates requests with different responses. */
+  boolean hasMaxItems() {
+    return items.size() >= MAX_ITEMS;
   }
 
   /** Adds an item, or a refusal in place of a request for which there is no room. Returns what was added. */
@@ -82,11 +78,21 @@
 
   /** Removes the next item; there must be one. */
   InboundRequest remove() {
+    return remove(Integer.MAX_VALUE);
+  }
+
+  /** Removes the next item, or {@code maxCount} of the equal responses that it stands for. */
+  InboundRequest remove(int maxCount) {
     InboundRequest item = items.remove();
-    budget.release(bytesOf(item));
-    pendingResponses -= item.count();
-    invalidRequests -= item.isInvalid() ? item.count() : 0;
-    return item;
+    int removed = Math.min(item.count(), maxCount);
+    if (removed < item.count()) {
+      items.addFirst(item.withCount(item.count() - removed));
+    } else {
+      budget.release(bytesOf(item));
+    }
+    pendingResponses -= removed;
+    invalidRequests -= item.isInvalid() ? removed : 0;
+    return item.withCount(removed);
   }
 
   void clear() {
--- a/src/test/java/hollyslip/platform/RequestQueueTest.java
+++ b/src/test/java/hollyslip/platform/RequestQueueTest.java
@@ -36,6 +36,27 @@
     assertEquals(0, budget.used());
   }
 
+  /** Reading goes on however many requests are refused, as the client's end stands behind them. */
+  @Test
+  void anyNumberOfEqualRefusalsTakesOneItemAndIsAnsweredInParts() {
+    for (int i = 0; i < 100_000; i++) {
+      queue.add(refusal(1, false));
+    }
+    assertTrue(budget.used() < 1000);
+    assertEquals(64, queue.remove(64).count());
+    assertEquals(100_000 - 64, queue.pendingResponses());
+    assertEquals(100_000 - 64, queue.remove().count());
+    assertEquals(0, budget.used());
+  }
+
+  @Test
+  void theNumberOfItemsIsLimitedWhereResponsesDiffer() {
+    for (int i = 0; !queue.hasMaxItems(); i++) {
+      assertTrue(i < 200, "items: " + i);
+      queue.add(i % 2 == 0 ? refusal(1, false) : InboundRequest.rejected(HttpResponseStatus.OK, 1, false));
+    }
+  }
+
   @Test
   void onlyEqualNeighboursAreMerged() {
     queue.add(refusal(1, false));
