--- a/src/main/java/hollyslip/RetryBudget.java
+++ b/src/main/java/hollyslip/RetryBudget.java
@@ -25,6 +25,11 @@
     available -= rules.budgetWindowUs() > 0 ? attempts : 0;
   }
 
+  /** Returns a further attempt that was counted and then not sent. */
+  void retryNotSent() {
+    available = Math.min(rules.budgetFree(), available + (rules.budgetWindowUs() > 0 ? 1 : 0));
+  }
+
   /** Whether one more attempt beyond a request's first may be made. */
   boolean allowsRetry() {
     return rules.budgetWindowUs() <= 0 || available >= 1;
--- a/src/main/java/hollyslip/TokenBorrowingScheduler.java
+++ b/src/main/java/hollyslip/TokenBorrowingScheduler.java
@@ -1050,6 +1050,9 @@
       pending.limit.add(pending.request.units());
       pending.charged = false;
     }
+    if (ended.result() == Result.MOOT && pending.attempts > 1) {
+      retryBudget.retryNotSent();
+    }
     if (pending.done) {
       forgetIfEnded(pending);
     } else if (ended.requestEnded()) {
--- a/src/test/java/hollyslip/RulesTest.java
+++ b/src/test/java/hollyslip/RulesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import hollyslip.HostScheduler.*;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -195,6 +196,44 @@
     assertEquals(List.of(), audit.violations);
   }
 
+  /** A further attempt that was withheld is not made. Else one client whose attempts are withheld leaves no
+   * budget to the requests of others. */
+  @Test
+  void attemptsThatWereNotSentLeaveTheBudgetToOthers() {
+    RetryBudget budget = new RetryBudget(new Rules(0, 0, 0, 0, 1, 1, 0, 0.1, 2, 1_000, 0));
+    for (int i = 0; i < 100; i++) {
+      assertTrue(budget.allowsRetry());
+      budget.retriesMade(1);
+      budget.retryNotSent();
+    }
+    budget.retriesMade(2);
+    assertFalse(budget.allowsRetry());
+    budget.retryNotSent();
+    budget.retryNotSent();
+    budget.retryNotSent();
+    budget.retriesMade(2);
+    assertFalse(budget.allowsRetry());
+  }
+
+  /** As above, by the events of the scheduler: each request's second attempt ends unsent. */
+  @Test
+  void secondAttemptsThatEndUnsentDoNotUseUpTheBudget() {
+    TokenBorrowingScheduler scheduler = new TokenBorrowingScheduler(Fixtures.settings());
+    List<Action> actions = new ArrayList<>();
+    long now = START;
+    scheduler.handle(now, new NodeList(true, List.of(Fixtures.node(1, 0, NodeState.ON, 0))), actions::add);
+    int requests = 20;
+    for (long id = 1; id <= requests; id++) {
+      scheduler.handle(now, Fixtures.request(id, "read", "free", null, id, 2, 0), actions::add);
+      scheduler.handle(now, new AttemptEnded(id, 0, 1, Result.RESET, false, 1_000, 0, 0, null), actions::add);
+      now += 100_000;
+      scheduler.handle(now, new TimerFired(0), actions::add);
+      scheduler.handle(now, new AttemptEnded(id, 1, 1, Result.MOOT, false, 0, 0, 0, null), actions::add);
+      scheduler.handle(now, new RequestAbandoned(id), actions::add);
+    }
+    assertEquals(2 * requests, actions.stream().filter(a -> a instanceof Send).count());
+  }
+
   /** Guards against budgets with a sliding window each: two lanes kept theirs and exceeded the common one. */
   @Test
   void severalAttemptBudgetsHoldTogetherInAnySpan() {
