Send nothing for a transaction id again once anything was sent for it

Cause: ids were forgotten with the end of their request's last attempt, so a copy that came later was a new request. Change: SentTransactions keeps hashes of sent ids, in fixed room of a 32nd of the heap, at least until the client gives up; a repeat gets 409, and where nothing may be forgotten new requests get 503. The three limits of bytes go from 3/16 to an eighth of the heap to make room, as the sum of limits has to fit.

--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -15,8 +15,10 @@
  *          limit of connections to disk servers, including those being established
  * @param bytes
  *          limit of bytes of request bodies, partial ones included; the same applies to incomplete responses
- *          of disk servers and to responses that clients have not read */
-record Bounds(int clients, int idleClients, int disks, long bytes) {
+ *          of disk servers and to responses that clients have not read
+ * @param transactions
+ *          number of transaction ids that are remembered */
+record Bounds(int clients, int idleClients, int disks, long bytes, int transactions) {
   /** File descriptors reserved for the old and new connection to discovery, and for files opened
    * occasionally. */
   private static final int SPARE_DESCRIPTORS = 10;
@@ -27,8 +29,17 @@
   /** Part of the heap that connections may take. */
   private static final int HEAP_PER_CONNECTIONS = 4;
 
-  /** Part of the configured memory that each of the three groups of buffered bytes may take. */
-  private static final int MEMORY_PER_BYTES = 16;
+  /** Part of the configured memory, and of the heap, that each of the three groups of buffered bytes may
+   * take. */
+  private static final int MEMORY_PER_BYTES = 16, HEAP_PER_BYTES = 8;
+
+  /** Heap that one remembered transaction id takes, bytes, and part of the heap that they may take. */
+  static final int TRANSACTION_BYTES = 64;
+
+  private static final int HEAP_PER_TRANSACTIONS = 32;
+
+  /** Most transaction ids that are worth remembering: at the full speed of one core, those of a minute. */
+  private static final int MAX_TRANSACTIONS = 1 << 20;
 
   /** Longest request body, bytes, as the protocol defines it. */
   static final int MAX_REQUEST_BODY_BYTES = 64 << 10;
@@ -45,8 +56,10 @@
     int connections = (int) Math.min(available, heapBytes / HEAP_PER_CONNECTIONS / CONNECTION_BYTES);
     int clients = connections * 3 / 4;
     long memoryBytes = memoryMb * (1L << 20);
-    long bytes = Math.min(memoryBytes / MEMORY_PER_BYTES, heapBytes * 3 / 16);
-    return new Bounds(clients, clients / 5, connections - clients, bytes);
+    long bytes = Math.min(memoryBytes / MEMORY_PER_BYTES, heapBytes / HEAP_PER_BYTES);
+    int transactions = (int) Math.min(heapBytes / HEAP_PER_TRANSACTIONS / TRANSACTION_BYTES,
+        MAX_TRANSACTIONS);
+    return new Bounds(clients, clients / 5, connections - clients, bytes, transactions);
   }
 
   /** Number of file descriptors that the process has open now. */
--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -294,9 +294,11 @@
     if (manager.draining() || state == State.ENDING) {
       return HttpResponseStatus.SERVICE_UNAVAILABLE;
     }
-    return manager.dispatcher().isTransactionOpen(item.head().transactionId())
-        ? HttpResponseStatus.CONFLICT
-        : null;
+    return switch (manager.dispatcher().admissionOf(item.head().transactionId())) {
+      case ACCEPTED -> null;
+      case REPEATED -> HttpResponseStatus.CONFLICT;
+      case NO_ROOM -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+    };
   }
 
   /** Answers the items at the head of the queue that are not served, in one write: a system call for each
@@ -310,6 +312,9 @@
         break;
       }
       InboundRequest item = queued.remove(MAX_RESPONSES_PER_ITEM);
+      if (item.isRequest()) {
+        logNotAccepted(item, status);
+      }
       closeAfterResponses |= item.closeAfterResponse();
       for (int i = 1; i < item.count(); i++) {
         responses.writeBytes(HttpSupport.responseHead(status, 0, 0, false));
@@ -319,6 +324,16 @@
     write(responses, 0, closeAfterResponses);
   }
 
+  private void logNotAccepted(InboundRequest item, HttpResponseStatus status) {
+    boolean repeated = status.equals(HttpResponseStatus.CONFLICT);
+    if (repeated) {
+      manager.metrics().increment(ProcessMetrics.Counter.REPEATED);
+    }
+    manager.log()
+        .event(repeated ? "request.repeated" : "request.not-accepted", "id", item.head().transactionId(),
+            "client", channel.remoteAddress(), "draining", manager.draining(), "state", state);
+  }
+
   private final class ConnectionResponder implements Exchange.Responder {
     private final boolean closeAfterResponse;
 
--- a/src/main/java/hollyslip/platform/Exchange.java
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -37,6 +37,8 @@
   int attempts, attemptsOutstanding;
   /** Whether the scheduler has been told of this request. */
   boolean posted;
+  /** Whether any of it was sent to a disk server. */
+  boolean sent;
   /** Whether the response was given or the client has disconnected. */
   private boolean completed;
 
--- a/src/main/java/hollyslip/platform/ProcessMetrics.java
+++ b/src/main/java/hollyslip/platform/ProcessMetrics.java
@@ -12,6 +12,8 @@
     ABANDONED,
     /** Requests refused as too many of their connection were waiting. */
     TOO_MANY,
+    /** Requests whose id was open or had been sent before. */
+    REPEATED,
     /** Attempts started, those of them that were not the first of their request, and those that were not sent
      * as their client may have disconnected. */
     ATTEMPTS, RETRIES, WITHHELD
--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -41,6 +41,12 @@
    * scheduler may have lost it. */
   private static final long OVERDUE_GRACE_US = 100_000;
 
+  /** What becomes of a request that is next in its connection's queue. {@code REPEATED}: its transaction id
+   * is open or was sent to a disk server before. {@code NO_ROOM}: its id could not be remembered. */
+  enum Admission {
+    ACCEPTED, REPEATED, NO_ROOM
+  }
+
   /** Number of an attempt that was not made as its request is over. */
   private static final int UNNUMBERED_ATTEMPT = -1;
 
@@ -55,6 +61,8 @@
   /** Limits the bytes of requests: partly received, queued and open ones. */
   private final ByteBudget requestBytes;
   private final Map<String, Exchange> byTransactionId = new HashMap<>();
+  private final SentTransactions sentTransactions;
+  private final long longestDeadlineUs;
   private final Map<Long, Exchange> byRequestId = new HashMap<>();
   private final Map<Long, Map<Integer, Call>> callsByRequest = new HashMap<>();
   private final Map<String, DiskServer> serversByHost = new HashMap<>();
@@ -69,7 +77,8 @@
   private long shutdownDeadline = Long.MAX_VALUE;
 
   RequestDispatcher(HostScheduler scheduler, Settings settings, EventLoop loop, MonotonicClock clock,
-      EventLog log, ProcessMetrics metrics, DiskConnectionPool diskPool, ByteBudget requestBytes) {
+      EventLog log, ProcessMetrics metrics, DiskConnectionPool diskPool, ByteBudget requestBytes,
+      SentTransactions sentTransactions) {
     this.scheduler = scheduler;
     this.settings = settings;
     this.loop = loop;
@@ -78,13 +87,29 @@
     this.metrics = metrics;
     this.diskPool = diskPool;
     this.requestBytes = requestBytes;
+    this.sentTransactions = sentTransactions;
+    longestDeadlineUs = settings.classes()
+        .stream()
+        .mapToLong(HostScheduler.RequestClass::deadlineUs)
+        .max()
+        .orElseThrow();
     reportParser = new LoadReportParser(settings);
     keyOrder = new KeyOrderBuffer(settings, loop, clock, log, this::postRequest);
   }
 
-  /** Whether this id belongs to a request that is still open. */
-  boolean isTransactionOpen(String transactionId) {
-    return byTransactionId.containsKey(transactionId);
+  /** Whether a request with this id may be accepted now. */
+  Admission admissionOf(String transactionId) {
+    if (byTransactionId.containsKey(transactionId) || sentTransactions.contains(transactionId)) {
+      return Admission.REPEATED;
+    }
+    return sentTransactions.hasRoom(byRequestId.size() + 1, clock.now())
+        ? Admission.ACCEPTED
+        : Admission.NO_ROOM;
+  }
+
+  /** Number of transaction ids that are remembered after their requests have ended. */
+  int rememberedTransactionCount() {
+    return sentTransactions.size();
   }
 
   /** The budget for bytes of requests. */
@@ -121,7 +146,7 @@
     post(new HostScheduler.Stopping(deadline));
   }
 
-  /** Accepts a request. Its transaction id must not be open.
+  /** Accepts a request, which {@link #admissionOf} must allow.
    *
    * @param receivedAt
    *          earliest time at which its last byte may have arrived, from which its deadline counts, us
@@ -341,7 +366,7 @@
     long latest = Math.min(exchange.deadline(), shutdownDeadline);
     long timeoutAt = send.timeoutAt() > 0 ? Math.min(send.timeoutAt(), latest) : latest;
     long startedAtUs = server.startedAtUs;
-    Call call = new Call(server, now, timeoutAt, waitUs -> encodeAttempt(exchange, server, waitUs),
+    Call call = new Call(server, now, timeoutAt, waitUs -> beginSending(exchange, server, waitUs),
         () -> mayForward(exchange, attempt) && clock.now() <= send.startBy()
             && server.startedAtUs == startedAtUs && acceptsAttempts(server),
         (result, latencyUs, headers, body) -> attemptEnded(exchange, attempt, server, result, latencyUs,
@@ -441,6 +466,10 @@
     if (exchange.completed() && exchange.attemptsOutstanding == 0 && byRequestId.remove(
         exchange.requestId) != null) {
       byTransactionId.remove(exchange.head.transactionId(), exchange);
+      if (exchange.sent) {
+        sentTransactions.add(exchange.head.transactionId(), exchange.acceptedAt + Math.min(exchange.head
+            .remainingUs(), longestDeadlineUs));
+      }
       requestBytes.release(exchange.body.length);
     }
   }
@@ -463,6 +492,11 @@
         }));
   }
 
+  private static ByteBuf beginSending(Exchange exchange, DiskServer server, long waitUs) {
+    exchange.sent = true;
+    return encodeAttempt(exchange, server, waitUs);
+  }
+
   /** Encodes the request of an attempt. The head is written anew: only what the protocol defines is
    * forwarded. */
   private static ByteBuf encodeAttempt(Exchange exchange, DiskServer server, long waitUs) {
--- a/src/main/java/hollyslip/platform/SchedulerProcess.java
+++ b/src/main/java/hollyslip/platform/SchedulerProcess.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -83,7 +84,8 @@
     TokenBorrowingScheduler scheduler = new TokenBorrowingScheduler(configuration.settings());
     dispatcher = new RequestDispatcher(scheduler, configuration.settings(), loop, clock, log, metrics,
         diskPool,
-        new ByteBudget(bounds.bytes()));
+        new ByteBudget(bounds.bytes()), new SentTransactions(bounds.transactions(), new SplittableRandom()
+            .nextLong()));
     connectionManager = new ClientConnectionManager(loop, clock, log, metrics, dispatcher,
         new RequestHead.Parser(configuration.settings(), configuration.shardCount()), bounds);
     long version = configuration.knownEndpoints() == null ? -1 : configuration.knownEndpoints().version();
@@ -250,8 +252,9 @@
     Runtime runtime = Runtime.getRuntime();
     log.event("node.held", "connections", connectionManager.connectionCount(), "throttled", connectionManager
         .throttledCount(), "open", dispatcher.openRequestCount(), "request_bytes", dispatcher.requestBytes()
-            .used(), "disk_connections", diskPool.connectionCount(), "heap_mb", (runtime.totalMemory()
-                - runtime.freeMemory()) >> 20);
+            .used(), "remembered_ids", dispatcher.rememberedTransactionCount(), "disk_connections", diskPool
+                .connectionCount(), "heap_mb", (runtime.totalMemory()
+                    - runtime.freeMemory()) >> 20);
   }
 
   /** Number of open client connections. */
--- a/src/test/java/hollyslip/platform/BufferLimitsTest.java
+++ b/src/test/java/hollyslip/platform/BufferLimitsTest.java
@@ -176,7 +176,8 @@
       for (int memoryMb : new int[]{128, 192, 800, 2048, 1 << 20}) {
         for (int descriptors : new int[]{256, 1024, 4096, 1 << 20}) {
           Bounds bounds = Bounds.of(descriptors, 0, memoryMb, heapBytes);
-          long held = 3 * bounds.bytes() + perConnection * (bounds.clients() + bounds.disks());
+          long held = 3 * bounds.bytes() + perConnection * (bounds.clients() + bounds.disks())
+              + (long) bounds.transactions() * Bounds.TRANSACTION_BYTES;
           assertTrue(held <= heapBytes / 4 * 3, bounds + " hold " + held + " of " + heapBytes);
         }
       }
--- a/src/test/java/hollyslip/platform/RequestDispatcherTest.java
+++ b/src/test/java/hollyslip/platform/RequestDispatcherTest.java
@@ -39,7 +39,8 @@
     DiskConnectionPool disks = new DiskConnectionPool(loop, clock, log, 10, new ByteBudget(1 << 20),
         1_000_000, 0);
     return new RequestDispatcher(scheduler, settings, loop, clock, log, new ProcessMetrics(), disks,
-        new ByteBudget(1 << 20));
+        new ByteBudget(1 << 20),
+        new SentTransactions(100, 1));
   }
 
   private static RequestHead head() {
