Keep no trailer fields of chunked messages

Cause: the codec keeps an object of over a hundred bytes for each trailer field until the message ends; 8 KiB of four-byte fields make some 300 KB a client, in no sum. Change: trailers are parsed, within the codec's 8 KiB, and dropped, from clients, disk servers and discovery alike; the protocol gives them no meaning.

--- a/src/main/java/hollyslip/platform/HttpSupport.java
+++ b/src/main/java/hollyslip/platform/HttpSupport.java
@@ -20,6 +20,7 @@
     return new HttpDecoderConfig().setMaxInitialLineLength(HttpHeadValidator.MAX_HEAD_BYTES)
         .setMaxHeaderSize(HttpHeadValidator.MAX_HEAD_BYTES)
         .setStrictLineParsing(true)
+        .setTrailersFactory(DiscardedTrailers.FACTORY)
         .setAllowDuplicateContentLengths(false);
   }
 
