Count the targets and keys of requests against the limit of bytes

Cause: the limit of bytes counted bodies and 1 KiB a waiting request, while a target may have 8 KiB; open and partly received requests counted their bodies only. Change: the texts of a head whose length the client chooses count wherever a request is held.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -218,8 +218,8 @@
     }
   }
 
-  /** Bytes of memory that a partly received body takes. */
-  int partialBodyBytes() {
+  /** Bytes of memory that a partly received request takes. */
+  int partialRequestBytes() {
     return assembler.bufferedBytes();
   }
 
--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -407,7 +407,7 @@
     nextStallCheckAt = now + STALL_CHECK_INTERVAL_US;
     long stalledBefore = now - MIN_STALL_BEFORE_EVICTION_US;
     openConnections.stream()
-        .filter(c -> c.partialBodyBytes() > 0 && c.lastReceivedAt() <= stalledBefore)
+        .filter(c -> c.partialRequestBytes() > 0 && c.lastReceivedAt() <= stalledBefore)
         .sorted(Comparator.comparingLong(ClientConnection::lastReceivedAt))
         .toList()
         .forEach(c -> {
--- a/src/main/java/hollyslip/platform/Exchange.java
+++ b/src/main/java/hollyslip/platform/Exchange.java
@@ -52,6 +52,11 @@
     this.responder = responder;
   }
 
+  /** Bytes of the request's texts and body. */
+  int heldBytes() {
+    return head.textBytes() + body.length;
+  }
+
   /** Latest time for the response, us on the scheduler's clock: when the client gives up, or earlier if a
    * request queued behind it on the same connection is due before that. */
   long deadline() {
--- a/src/main/java/hollyslip/platform/InboundRequest.java
+++ b/src/main/java/hollyslip/platform/InboundRequest.java
@@ -34,6 +34,11 @@
     return errorStatus == null;
   }
 
+  /** Bytes of a request's texts and body. */
+  int heldBytes() {
+    return (head == null ? 0 : head.textBytes()) + body.length;
+  }
+
   /** Whether it is answered with an error that is the client's own fault. */
   boolean isInvalid() {
     return errorStatus != null && errorStatus.codeClass() == HttpStatusClass.CLIENT_ERROR;
--- a/src/main/java/hollyslip/platform/RequestAssembler.java
+++ b/src/main/java/hollyslip/platform/RequestAssembler.java
@@ -31,6 +31,8 @@
   /** How long the client of a refused request waits, us; negative: the current request is not refused. */
   private long refusedRemainingUs = NOT_REFUSED;
   private final BudgetedBuffer body;
+  /** Bytes reserved for the texts of the current request's head. */
+  private int headBytes;
   private boolean closeAfterResponse;
 
   RequestAssembler(ClientConnectionManager manager, Channel channel) {
@@ -39,9 +41,9 @@
     body = new BudgetedBuffer(manager.dispatcher().requestBytes(), 0);
   }
 
-  /** Bytes of memory that the partly received body takes. */
+  /** Bytes of memory that the partly received request takes. */
   int bufferedBytes() {
-    return body.capacity();
+    return headBytes + body.capacity();
   }
 
   /** Starts a request from its head.
@@ -71,9 +73,14 @@
       reject(e);
       return;
     }
-    if (!manager.dispatcher().requestBytes().ensureRoom(Math.max(0, head.bodyLength()))) {
+    ByteBudget budget = manager.dispatcher().requestBytes();
+    if (!budget.ensureRoom(head.textBytes() + Math.max(0, head.bodyLength()))) {
       rejectForLackOfSpace();
-    } else if (head.bodyLength() != 0 && first && request.headers()
+      return;
+    }
+    headBytes = head.textBytes();
+    budget.reserve(headBytes);
+    if (head.bodyLength() != 0 && first && request.headers()
         .containsValue(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true)) {
       channel.writeAndFlush(HttpSupport.latin1Bytes("HTTP/1.1 100 Continue\r\n\r\n"));
     }
@@ -158,6 +165,8 @@
     head = null;
     refusedRemainingUs = NOT_REFUSED;
     errorStatus = null;
+    manager.dispatcher().requestBytes().release(headBytes);
+    headBytes = 0;
     body.release();
   }
 }
--- a/src/main/java/hollyslip/platform/RequestDispatcher.java
+++ b/src/main/java/hollyslip/platform/RequestDispatcher.java
@@ -159,7 +159,7 @@
     metrics.increment(Counter.ACCEPTED);
     byTransactionId.put(head.transactionId(), exchange);
     byRequestId.put(exchange.requestId, exchange);
-    requestBytes.reserve(body.length);
+    requestBytes.reserve(exchange.heldBytes());
     if (keyOrder.appliesTo(head)) {
       keyOrder.add(exchange, arrivedAt);
     } else {
@@ -470,7 +470,7 @@
         sentTransactions.add(exchange.head.transactionId(), exchange.acceptedAt + Math.min(exchange.head
             .remainingUs(), longestDeadlineUs));
       }
-      requestBytes.release(exchange.body.length);
+      requestBytes.release(exchange.heldBytes());
     }
   }
 
--- a/src/main/java/hollyslip/platform/RequestHead.java
+++ b/src/main/java/hollyslip/platform/RequestHead.java
@@ -41,6 +41,11 @@
       DECIMAL = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,9})?"), INTEGER = Pattern.compile("-?[0-9]{1,8}"),
       HEX_64 = Pattern.compile("[0-9a-fA-F]{16}");
 
+  /** Bytes of the texts that it keeps and whose length the client chooses. */
+  int textBytes() {
+    return uri.length() + (idempotencyKey == null ? 0 : idempotencyKey.length());
+  }
+
   /** Thrown when a request head is invalid, with the status to respond with. */
   static final class RequestRejectedException extends Exception {
     final HttpResponseStatus status;
--- a/src/main/java/hollyslip/platform/RequestQueue.java
+++ b/src/main/java/hollyslip/platform/RequestQueue.java
@@ -17,7 +17,7 @@
   /** Items that may wait: the requests, the invalid ones, and refusals between them. */
   private static final int MAX_ITEMS = MAX_REQUESTS + 2 * MAX_INVALID_REQUESTS;
 
-  /** Memory counted for a request in addition to its body, and for an error response, bytes. */
+  /** Memory counted for a request in addition to its texts and body, and for an error response, bytes. */
   private static final int REQUEST_OVERHEAD_BYTES = 1024, ERROR_BYTES = 64;
 
   private final ByteBudget budget;
@@ -107,6 +107,6 @@
   }
 
   private static long bytesOf(InboundRequest item) {
-    return item.isRequest() ? REQUEST_OVERHEAD_BYTES + item.body().length : ERROR_BYTES;
+    return item.isRequest() ? REQUEST_OVERHEAD_BYTES + item.heldBytes() : ERROR_BYTES;
   }
 }
--- a/src/test/java/hollyslip/platform/CrowdMemoryTest.java
+++ b/src/test/java/hollyslip/platform/CrowdMemoryTest.java
@@ -100,7 +100,7 @@
     } catch (IOException unanswered) {
       boolean ended = fixture.process.waitFor(EXIT_WAIT_S, TimeUnit.SECONDS);
       throw new AssertionError("a usual request was not answered in time; process ended: " + ended + ", "
-          + fixture.process, unanswered);
+          + fixture.process + "\n" + String.join("\n", fixture.log), unanswered);
     }
   }
 
--- a/src/test/java/hollyslip/platform/RequestQueueTest.java
+++ b/src/test/java/hollyslip/platform/RequestQueueTest.java
@@ -86,6 +86,17 @@
     assertEquals(0, budget.used());
   }
 
+  /** A target may be a hundred times as long as usual, and 32 of them may wait on each connection. */
+  @Test
+  void theTextsOfARequestCountToo() {
+    RequestHead head = new RequestHead("t1", "GET", "/get/" + "x".repeat(7000), "get", "gold", 0, "key", 1, 1,
+        1, 0, 1, false, false, 0);
+    queue.add(new InboundRequest(head, new byte[10], 0, 0, 10, null, false, 1));
+    assertTrue(budget.used() >= 7000 + "key".length() + 10, "used: " + budget.used());
+    queue.clear();
+    assertEquals(0, budget.used());
+  }
+
   @Test
   void aRequestThatExceedsTheBudgetIsRefused() {
     assertTrue(queue.add(request(BUDGET_BYTES - 2000)).isRequest());
