Read all that exceeds one read of a client in turn with others

A usual request beside 600 clients with 230 KB each was answered after 2.48 s, of 1.5 s allowed, with no delay of the loop logged. Cause: each iteration accepts 16 connections and reads 16 KiB of every other, so that a crowd's input stood before the accept queue; only connections with full queues were read in turn. Change: so is every connection whose read fills its buffer; before an attempt, input of a client with a full queue is not read at once any more but waits for its turn; key order waits for what is left.

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -162,8 +162,12 @@
     return endReached;
   }
 
-  /** Reads pending input. Returns whether all of it was read; if not, the client may have disconnected. */
+  /** Reads pending input. Returns whether all of it was read; if not, the client may have disconnected. Input
+   * of a client that is known to send more than is served waits for its turn. */
   private boolean readToEnd() {
+    if (throttled && queued.isFull()) {
+      return false;
+    }
     if (!backlogged) {
       backlogged = !readPending();
       throttleIfNeeded();
@@ -185,20 +189,24 @@
     return throttled;
   }
 
+  /** Whether the connection sends more than is read at once or served, so that others come first. */
   private boolean needsThrottling() {
-    return channel.isActive() && (backlogged || queued.isFull() || !state.acceptsRequests());
+    return channel.isActive() && (unreadInput.mayBeLeft() || backlogged || queued.isFull() || !state
+        .acceptsRequests());
   }
 
   private void throttleIfNeeded() {
     if (!throttled && needsThrottling()) {
       throttled = true;
-      logExcess();
+      if (queued.isFull()) {
+        logExcess();
+      }
       channel.config().setAutoRead(false);
       manager.throttle(this);
     }
   }
 
-  /** Logs the first time that the connection sends more than is served. */
+  /** Logs the first time that the connection has more requests waiting than are served. */
   private void logExcess() {
     if (!excessLogged && state.acceptsRequests()) {
       excessLogged = true;
--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -100,8 +100,7 @@
   private long acceptedCount, acceptedAtLastCheck = -1;
   /** When clients that have stopped sending are next looked for, us. */
   private long nextStallCheckAt;
-  /** Connections that have more requests waiting than are served, in the order in which they are read
-   * next. */
+  /** Connections that send more than is read at once or served, in the order in which they are read next. */
   private final ArrayDeque<ClientConnection> throttled = new ArrayDeque<>();
   /** Connections closed since the queue was last shed. */
   private int shedCount;
@@ -227,6 +226,7 @@
       }
     }
     if (!throttled.isEmpty()) {
+      dispatcher.keyOrder().inputLeft();
       scheduleThrottledReads();
     }
   }
--- a/src/test/java/hollyslip/platform/CrowdMemoryTest.java
+++ b/src/test/java/hollyslip/platform/CrowdMemoryTest.java
@@ -82,11 +82,14 @@
         crowd.add(socket);
         writers.add(threads.submit(() -> write(socket, bytes)));
       }
-      long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OBSERVATION_MS);
+      long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OBSERVATION_MS), slowestMs = 0;
       for (int i = 0; System.nanoTime() < end; i++) {
+        long start = System.nanoTime();
         assertUsualRequestIsAnswered(fixture, i);
+        slowestMs = Math.max(slowestMs, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start));
         Thread.sleep(20);
       }
+      System.out.println("slowest usual request beside a crowd: " + slowestMs + " ms");
       assertTrue(fixture.process.isAlive(), "the process has ended");
     }
   }
