Forget idle volumes and keys beyond a maximum, those like new ones first

Cause: the scheduler kept each name for a minute, some 250 to 550 bytes, and a key that had rested after a timeout for ever. Change: IdleVolumes, a decision of the module that applies beyond a 16th of the heap: volumes with full buckets and no loans go first, then the longest idle; limits that are not full stay, and further volumes with a limit are refused then. Gateways and the simulator have no maximum and are as before.

--- a/src/main/java/hollyslip/TokenBorrowingScheduler.java
+++ b/src/main/java/hollyslip/TokenBorrowingScheduler.java
@@ -96,7 +96,9 @@
   /** All nodes, and those with queued requests: the cost of an event must not grow with the node count. */
   final Map<Long, Node> nodes = new TreeMap<>(), nodesWithQueuedRequests = new TreeMap<>();
   private final Map<Long, PendingRequest> pendingRequests = new LinkedHashMap<>();
-  private final Map<Long, TokenBucket> limits = new HashMap<>(), reserves = new HashMap<>();
+  /** In order of last use. */
+  private final Map<Long, TokenBucket> limits = new LinkedHashMap<>(16, 0.75f, true),
+      reserves = new LinkedHashMap<>(16, 0.75f, true);
   private final Map<Long, KeyQueue> keyQueues = new HashMap<>();
   /** Volumes with a plan of their own, and removed volumes that are forgotten with their last request. */
   private final Map<Long, VolumeChanged> volumeTerms = new HashMap<>();
@@ -106,6 +108,7 @@
       pending -> pending.answerBy).thenComparingLong(pending -> pending.sequence));
   private final SplittableRandom random;
   private final RetryBudget retryBudget;
+  private final IdleVolumes idleVolumes;
   private final double shortestAimUs, maxWorth;
   private Consumer<Action> actionSink;
   private double maxValue;
@@ -117,7 +120,17 @@
   private long firstEventAt = Long.MIN_VALUE, timerAt = Long.MAX_VALUE, listRetryAt = Long.MAX_VALUE;
   private boolean recheckNeeded, stopping;
 
+  /** Creates a scheduler for volumes whose number is limited elsewhere. */
   public TokenBorrowingScheduler(Settings settings) {
+    this(settings, Integer.MAX_VALUE);
+  }
+
+  /** Creates a scheduler for volumes that clients name.
+   *
+   * @param maxIdleVolumes
+   *          number of volumes from which on those without requests are forgotten */
+  public TokenBorrowingScheduler(Settings settings, int maxIdleVolumes) {
+    idleVolumes = new IdleVolumes(maxIdleVolumes);
     this.settings = Objects.requireNonNull(settings, "settings");
     settings.classes().forEach(c -> classes.put(c.name(), c));
     settings.plans().forEach(p -> plans.put(p.name(), p));
@@ -256,6 +269,14 @@
       decayedPeriods = Math.max(decayedPeriods, periods);
     }
 
+    /** Whether a new volume of the same weight would be treated no differently: the bucket is full, and less
+     * than one unit is lent or owed. */
+    boolean isLikeNew(long now, long periods) {
+      refill(now);
+      decayRecord(periods);
+      return tokens >= bucketDepth && Math.abs(record) < 1;
+    }
+
     /** Time at which the bucket holds, or held, this many units. */
     double tokensAvailableAt(double units) {
       double missing = Math.min(units, bucketDepth) - tokens;
@@ -730,17 +751,30 @@
     armTimer();
   }
 
-  /** Forgets volumes without requests, since new ones keep coming; a full bucket is as good as a new one. */
+  /** Number of volumes that are known, those at several nodes counted at each, and of keys that order
+   * requests. */
+  public int knownNames() {
+    return nodes.values().stream().mapToInt(node -> node.volumes.size()).sum() + limits.size()
+        + reserves.size() + keyQueues.size();
+  }
+
+  /** Forgets volumes and keys without requests, since new ones keep coming; a full bucket is as good as a new
+   * one. */
   private void expireIdleVolumes() {
-    if (now >= nextSweepAt) {
+    boolean tooMany = idleVolumes.areTooMany(nodes.values()) || idleVolumes.areTooMany(limits) || idleVolumes
+        .areTooMany(reserves);
+    if (now >= nextSweepAt || tooMany) {
       nextSweepAt = now + IDLE_EXPIRY_US / 4;
       Set<Long> busy = new HashSet<>();
       pendingRequests.values().forEach(pending -> busy.add(pending.request.volume()));
-      List.of(limits, reserves)
-          .forEach(m -> m.entrySet().removeIf(e -> !busy.contains(e.getKey()) && e.getValue().isFull(now)));
+      idleVolumes.forgetFull(limits, busy, now);
+      idleVolumes.forgetFull(reserves, busy, now);
+      idleVolumes.forgetFirst(reserves, busy);
       nodes.values()
           .forEach(node -> node.volumes.values()
               .removeIf(volume -> volume.queues.isEmpty() && now - volume.lastRequestAt > IDLE_EXPIRY_US));
+      idleVolumes.forgetAt(nodes.values(), now);
+      keyQueues.values().removeIf(queue -> queue.requests.isEmpty() && queue.quietUntil <= now);
     }
   }
 
@@ -791,7 +825,9 @@
     RequestClass requestClass = classes.get(request.className());
     VolumeChanged ownTerms = volumeTerms.get(request.volume());
     Plan plan = ownTerms != null ? ownTerms.plan() : plans.get(request.plan());
-    if (requestClass == null || plan == null || request.remainingUs() <= 0) {
+    boolean limitKnown = plan == null || plan.limit() <= 0 || limits.containsKey(request.volume())
+        || idleVolumes.hasRoom(limits.size());
+    if (requestClass == null || plan == null || request.remainingUs() <= 0 || !limitKnown) {
       actionSink.accept(new Refuse(request.id(), 0));
       return;
     }
--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -17,8 +17,10 @@
  *          limit of bytes of request bodies, partial ones included; the same applies to incomplete responses
  *          of disk servers and to responses that clients have not read
  * @param transactions
- *          number of transaction ids that are remembered */
-record Bounds(int clients, int idleClients, int disks, long bytes, int transactions) {
+ *          number of transaction ids that are remembered
+ * @param volumes
+ *          number of volumes whose state the scheduler keeps while they have no requests */
+record Bounds(int clients, int idleClients, int disks, long bytes, int transactions, int volumes) {
   /** File descriptors reserved for the old and new connection to discovery, and for files opened
    * occasionally. */
   private static final int SPARE_DESCRIPTORS = 10;
@@ -38,6 +40,12 @@
 
   private static final int HEAP_PER_TRANSACTIONS = 32;
 
+  /** Heap that the scheduler's state of one volume takes, bytes: at a node, and its buckets; and part of the
+   * heap that they may take. */
+  static final int VOLUME_BYTES = 768;
+
+  private static final int HEAP_PER_VOLUMES = 16;
+
   /** Most transaction ids that are worth remembering: at the full speed of one core, those of a minute. */
   private static final int MAX_TRANSACTIONS = 1 << 20;
 
@@ -59,7 +67,8 @@
     long bytes = Math.min(memoryBytes / MEMORY_PER_BYTES, heapBytes / HEAP_PER_BYTES);
     int transactions = (int) Math.min(heapBytes / HEAP_PER_TRANSACTIONS / TRANSACTION_BYTES,
         MAX_TRANSACTIONS);
-    return new Bounds(clients, clients / 5, connections - clients, bytes, transactions);
+    int volumes = (int) Math.min(heapBytes / HEAP_PER_VOLUMES / VOLUME_BYTES, Integer.MAX_VALUE);
+    return new Bounds(clients, clients / 5, connections - clients, bytes, transactions, volumes);
   }
 
   /** Number of file descriptors that the process has open now. */
--- a/src/main/java/hollyslip/platform/SchedulerProcess.java
+++ b/src/main/java/hollyslip/platform/SchedulerProcess.java
@@ -55,6 +55,7 @@
   private final CountDownLatch terminated = new CountDownLatch(1);
   private final ProcessMetrics metrics = new ProcessMetrics();
   private final DiskConnectionPool diskPool;
+  private final TokenBorrowingScheduler scheduler;
   private final RequestDispatcher dispatcher;
   private final ClientConnectionManager connectionManager;
   private final DiscoveryClient discovery;
@@ -81,7 +82,7 @@
         configuration.memoryMb(), Runtime.getRuntime().maxMemory());
     diskPool = new DiskConnectionPool(loop, clock, log, bounds.disks(), new ByteBudget(bounds.bytes()),
         configuration.settings().allowed().connectTimeoutUs(), configuration.diskIdleTimeoutUs());
-    TokenBorrowingScheduler scheduler = new TokenBorrowingScheduler(configuration.settings());
+    scheduler = new TokenBorrowingScheduler(configuration.settings(), bounds.volumes());
     dispatcher = new RequestDispatcher(scheduler, configuration.settings(), loop, clock, log, metrics,
         diskPool,
         new ByteBudget(bounds.bytes()), new SentTransactions(bounds.transactions(), new SplittableRandom()
@@ -252,9 +253,10 @@
     Runtime runtime = Runtime.getRuntime();
     log.event("node.held", "connections", connectionManager.connectionCount(), "throttled", connectionManager
         .throttledCount(), "open", dispatcher.openRequestCount(), "request_bytes", dispatcher.requestBytes()
-            .used(), "remembered_ids", dispatcher.rememberedTransactionCount(), "disk_connections", diskPool
-                .connectionCount(), "heap_mb", (runtime.totalMemory()
-                    - runtime.freeMemory()) >> 20);
+            .used(), "remembered_ids", dispatcher.rememberedTransactionCount(), "known_names", scheduler
+                .knownNames(), "disk_connections", diskPool
+                    .connectionCount(), "heap_mb", (runtime.totalMemory()
+                        - runtime.freeMemory()) >> 20);
   }
 
   /** Number of open client connections. */
--- a/src/test/java/hollyslip/ArchitectureTest.java
+++ b/src/test/java/hollyslip/ArchitectureTest.java
@@ -120,6 +120,8 @@
         .or()
         .haveFullyQualifiedName("hollyslip.RetryBudget")
         .or()
+        .haveFullyQualifiedName("hollyslip.IdleVolumes")
+        .or()
         .haveFullyQualifiedName("hollyslip.TokenBucket")
         .or()
         .haveFullyQualifiedName("hollyslip.engine.RangeLocks")
--- a/src/test/java/hollyslip/platform/BufferLimitsTest.java
+++ b/src/test/java/hollyslip/platform/BufferLimitsTest.java
@@ -177,7 +177,8 @@
         for (int descriptors : new int[]{256, 1024, 4096, 1 << 20}) {
           Bounds bounds = Bounds.of(descriptors, 0, memoryMb, heapBytes);
           long held = 3 * bounds.bytes() + perConnection * (bounds.clients() + bounds.disks())
-              + (long) bounds.transactions() * Bounds.TRANSACTION_BYTES;
+              + (long) bounds.transactions() * Bounds.TRANSACTION_BYTES + (long) bounds.volumes()
+                  * Bounds.VOLUME_BYTES;
           assertTrue(held <= heapBytes / 4 * 3, bounds + " hold " + held + " of " + heapBytes);
         }
       }
--- a/src/test/java/hollyslip/platform/CrowdMemoryTest.java
+++ b/src/test/java/hollyslip/platform/CrowdMemoryTest.java
@@ -151,6 +151,7 @@
       }
       assertUsualRequestIsAnswered(fixture, 0);
       long held = heapBytesInUse(fixture.process);
+      System.out.println("heap in use after " + NEW_NAMES + " names: " + held);
       assertTrue(held <= MAX_HELD_BYTES, "held after " + NEW_NAMES + " names: " + held);
     }
   }
