Limit the number of header fields, and count those that a response keeps

Change: a head has 100 fields at most, from clients, disk servers and discovery; the fields of a response count, with 128 bytes each, against the limit of incomplete responses. No run of the fault.

--- a/src/main/java/hollyslip/platform/DiskConnection.java
+++ b/src/main/java/hollyslip/platform/DiskConnection.java
@@ -38,6 +38,8 @@
   private Call call;
   private HttpResponse responseHead;
   private BudgetedBuffer responseBody;
+  /** Bytes reserved for the header fields of the response. */
+  private int responseHeadBytes;
   private int interimResponses;
   /** The response's head or its chunks mark where it ends, rather than the end of the connection. */
   private boolean selfDelimited;
@@ -76,7 +78,7 @@
     usedBefore = true;
     responseHead = null;
     interimResponses = 0;
-    responseBody.release();
+    releaseResponse();
     channel.writeAndFlush(newCall.requestEncoder.apply(newCall.timeoutAt - pool.now())).addListener(f -> {
       if (f.isSuccess()) {
         newCall.written = true;
@@ -92,7 +94,7 @@
       return;
     }
     closed = true;
-    responseBody.release();
+    releaseResponse();
     channel.close();
     Call endedCall = call;
     call = null;
@@ -143,6 +145,12 @@
       failInvalidResponse("length: " + response.headers().entries());
       return;
     }
+    int headBytes = HttpSupport.heapBytes(response.headers());
+    if (!pool.responseBytes().tryReserve(headBytes)) {
+      failInvalidResponse("no buffer space for its header fields");
+      return;
+    }
+    responseHeadBytes = headBytes;
     responseHead = response;
     // Without a length, the response ends at an orderly close of the connection. A reset does not complete
     // it, as exceptionCaught is called first.
@@ -151,6 +159,13 @@
     responseBody = new BudgetedBuffer(pool.responseBytes(), (int) Math.min(length, MAX_EXPECTED_BODY_BYTES));
   }
 
+  /** Discards the body received so far and returns the memory of the response to its budget. */
+  private void releaseResponse() {
+    responseBody.release();
+    pool.responseBytes().release(responseHeadBytes);
+    responseHeadBytes = 0;
+  }
+
   private void onContent(HttpContent content) {
     if (content.decoderResult().isFailure()) {
       failInvalidResponse("body");
@@ -170,7 +185,7 @@
     Call endedCall = call;
     HttpResponse response = responseHead;
     byte[] bytes = responseBody.toByteArray();
-    responseBody.release();
+    releaseResponse();
     call = null;
     responseHead = null;
     boolean reusable = selfDelimited && endedCall.written && decoder.unreadBytes() == 0 && !response.headers()
--- a/src/main/java/hollyslip/platform/HttpHeadValidator.java
+++ b/src/main/java/hollyslip/platform/HttpHeadValidator.java
@@ -11,13 +11,16 @@
   /** Maximum size of a head, bytes. */
   static final int MAX_HEAD_BYTES = 8 << 10;
 
+  /** Maximum number of header fields in a head: each takes an object of over a hundred bytes. */
+  static final int MAX_FIELDS = 100;
+
   private int scannedBytes;
 
   /** Returns the length of the head at the reader index, including its final empty line, in bytes, or -1
    * while it is incomplete. Fastest where the buffer is on the heap.
    *
    * @throws IllegalArgumentException
-   *           if the head is too long or malformed */
+   *           if the head is too long or malformed, or has too many fields */
   int completeHeadLength(ByteBuf in) {
     int end = Math.min(in.readableBytes(), MAX_HEAD_BYTES);
     byte[] bytes = in.hasArray() ? in.array() : ByteBufUtil.getBytes(in, in.readerIndex(), end);
@@ -39,6 +42,7 @@
 
   private static void validate(byte[] bytes, int from, int length) {
     boolean lineStart = true, first = true, inName = false;
+    int fields = 0;
     for (int i = from; i < from + length; i++) {
       int b = bytes[i] & 0xff;
       if (b == '\r') {
@@ -59,6 +63,10 @@
         }
         lineStart = false;
         inName = !first;
+        fields += inName ? 1 : 0;
+        if (fields > MAX_FIELDS) {
+          throw new IllegalArgumentException("too many header fields");
+        }
       }
       if (inName) {
         if (b == ':') {
--- a/src/main/java/hollyslip/platform/HttpSupport.java
+++ b/src/main/java/hollyslip/platform/HttpSupport.java
@@ -5,13 +5,18 @@
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Map;
 
 /** HTTP utilities shared by the client, disk server and discovery sides. */
 final class HttpSupport {
+  /** Memory of one header field beside its texts, bytes. */
+  private static final int FIELD_BYTES = 128;
+
   private HttpSupport() {}
 
   /** Configuration of the request and the response decoder: the codec's own limits back up
@@ -69,6 +74,15 @@
     return latin1Bytes(head.append("\r\n").toString());
   }
 
+  /** Memory that header fields take, bytes: their texts and the objects that hold them. */
+  static int heapBytes(HttpHeaders headers) {
+    int bytes = 0;
+    for (Map.Entry<String, String> field : headers) {
+      bytes += FIELD_BYTES + field.getKey().length() + field.getValue().length();
+    }
+    return bytes;
+  }
+
   /** Value of the Host header for an address. */
   static String authority(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
