Count 20 KiB of heap for a connection, which one can take

Change: 20 KiB in 9/32 of the heap, so 890 connections at 64 MB in place of 990; the sum of all limits, with ids and volumes, is three quarters of the heap, and its test counts the bound. Evidence: CrowdMemoryTest#aConnectionHoldsNoMoreThanIsCountedForIt failed with 19,432 bytes of 16,384.

--- a/src/main/java/hollyslip/platform/Bounds.java
+++ b/src/main/java/hollyslip/platform/Bounds.java
@@ -25,11 +25,12 @@
    * occasionally. */
   private static final int SPARE_DESCRIPTORS = 10;
 
-  /** Heap that one connection takes, bytes: its objects, an incomplete head and an open request. */
-  static final int CONNECTION_BYTES = 16 << 10;
+  /** Heap that one connection takes, bytes: its objects, an incomplete head, and the codec's room for the
+   * longest line that it has read. */
+  static final int CONNECTION_BYTES = 20 << 10;
 
   /** Part of the heap that connections may take. */
-  private static final int HEAP_PER_CONNECTIONS = 4;
+  private static final double HEAP_PART_OF_CONNECTIONS = 9.0 / 32;
 
   /** Part of the configured memory, and of the heap, that each of the three groups of buffered bytes may
    * take. */
@@ -61,7 +62,8 @@
    * untrusted, while the scheduler keeps the attempts at a disk server to some tens. */
   static Bounds of(int maxDescriptors, int openDescriptors, int memoryMb, long heapBytes) {
     long available = Math.max(8, maxDescriptors - openDescriptors - SPARE_DESCRIPTORS);
-    int connections = (int) Math.min(available, heapBytes / HEAP_PER_CONNECTIONS / CONNECTION_BYTES);
+    int connections = (int) Math.min(available, (long) (heapBytes * HEAP_PART_OF_CONNECTIONS)
+        / CONNECTION_BYTES);
     int clients = connections * 3 / 4;
     long memoryBytes = memoryMb * (1L << 20);
     long bytes = Math.min(memoryBytes / MEMORY_PER_BYTES, heapBytes / HEAP_PER_BYTES);
--- a/src/test/java/hollyslip/platform/BufferLimitsTest.java
+++ b/src/test/java/hollyslip/platform/BufferLimitsTest.java
@@ -171,12 +171,12 @@
         .matcher(Files.readString(Path.of("deploy/balancer.toml")));
     assertTrue(heap.find());
     long runLineHeapBytes = Long.parseLong(heap.group(1)) << 20;
-    long perConnection = HttpHeadValidator.MAX_HEAD_BYTES + ReceiveBuffers.MAX_UNUSED_BYTES;
     for (long heapBytes : new long[]{runLineHeapBytes / 2, runLineHeapBytes, 4 * runLineHeapBytes}) {
       for (int memoryMb : new int[]{128, 192, 800, 2048, 1 << 20}) {
         for (int descriptors : new int[]{256, 1024, 4096, 1 << 20}) {
           Bounds bounds = Bounds.of(descriptors, 0, memoryMb, heapBytes);
-          long held = 3 * bounds.bytes() + perConnection * (bounds.clients() + bounds.disks())
+          long held = 3 * bounds.bytes() + (long) Bounds.CONNECTION_BYTES * (bounds.clients() + bounds
+              .disks())
               + (long) bounds.transactions() * Bounds.TRANSACTION_BYTES + (long) bounds.volumes()
                   * Bounds.VOLUME_BYTES;
           assertTrue(held <= heapBytes / 4 * 3, bounds + " hold " + held + " of " + heapBytes);
--- a/src/test/java/hollyslip/platform/CrowdMemoryTest.java
+++ b/src/test/java/hollyslip/platform/CrowdMemoryTest.java
@@ -1,5 +1,6 @@
 package hollyslip.platform;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -35,6 +36,9 @@
   /** How long a process that answers no more is given to end, for the message of a failure, s. */
   private static final int EXIT_WAIT_S = 5;
 
+  /** Connections with a line of nearly the longest head. */
+  private static final int CONNECTIONS = 400, LONG_LINE_BYTES = HttpHeadValidator.MAX_HEAD_BYTES - 100;
+
   /** Requests under names of their own that one client sends. */
   private static final int NEW_NAMES = 150_000, NAMES_PER_WRITE = 30;
 
@@ -130,6 +134,30 @@
     });
   }
 
+  /** The codec keeps the room of the longest line it read, beside a head that is not whole. */
+  @Test
+  void aConnectionHoldsNoMoreThanIsCountedForIt() throws Exception {
+    try (SchedulerProcessFixture fixture = new SchedulerProcessFixture(SOCKETS, Map.of())) {
+      fixture.startEcho();
+      assertUsualRequestIsAnswered(fixture, 0);
+      long before = heapBytesInUse(fixture.process);
+      List<SchedulerFixture.Client> clients = new ArrayList<>();
+      for (int i = 0; i < CONNECTIONS; i++) {
+        SchedulerFixture.Client client = fixture.client();
+        clients.add(client);
+        crowd.add(client.socket);
+        client.send("GET /" + "x".repeat(LONG_LINE_BYTES) + " HTTP/1.1\r\n\r\n");
+        assertEquals(404, client.readStatus());
+      }
+      for (SchedulerFixture.Client client : clients) {
+        client.send("GET /" + "x".repeat(LONG_LINE_BYTES));
+      }
+      long held = (heapBytesInUse(fixture.process) - before) / CONNECTIONS;
+      System.out.println("heap in use for a connection: " + held);
+      assertTrue(held <= Bounds.CONNECTION_BYTES, "bytes for a connection: " + held);
+    }
+  }
+
   /** A client waits 4 ms for each of its requests, so that they end at once. */
   @Test
   void everNewVolumesDoNotEndTheProcess() throws Exception {
