Give each request of a test an id of its own

LostRequestsTest#aDelayedSecondResponseIsNotMatchedToTheNextRequest sent ten ids in each of ten rounds, and failed since: an id that comes again is answered 409 and not sent.

--- a/src/test/java/hollyslip/platform/LostRequestsTest.java
+++ b/src/test/java/hollyslip/platform/LostRequestsTest.java
@@ -427,7 +427,7 @@
         SchedulerFixture.Client client = fixture.client()) {
       for (int i = 0; i < 10; i++) {
         for (int k = 0; k < 10; k++) {
-          client.send(read("warm" + k, 2000));
+          client.send(read("warm" + i + "-" + k, 2000));
           fixture.diskServer.nextRequest().respondOk("x");
           assertEquals(200, client.readStatus());
           Thread.sleep(28);
