Close what waits in the accept queue although places come and go

Beside four clients that connect, send 80 KB and leave in a loop, a usual request waited unread for over 1.5 s, and was neither answered nor shut (found by HostileTrafficTest). Cause: the wait counted from when the last place was taken, and each place that came free began it anew; and what was shed was taken 16 in an iteration, slower than it came. Change: the wait counts from when the queue was last seen empty, while nearly all places are taken, and all of it is closed at once, past the event loop. LostRequestsTest and ClientConnectionManagerTest are green.

--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -9,8 +9,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
@@ -90,20 +94,14 @@
   private final ArrivalTimeEstimator arrivalTimes;
   private Channel listener;
   private boolean ready, draining, atCapacity, acceptPaused;
-  /** Whether waiting connections are accepted only to be closed. */
-  private boolean sheddingQueue;
   /** Whether the last accept loop ended because the accept queue was empty. */
   private boolean acceptQueueDrained;
-  /** Since when connections may be waiting at the limit, us. */
-  private long atCapacitySince;
   /** Connections accepted so far, and that number at the last call of {@link #closeIfDrained}. */
   private long acceptedCount, acceptedAtLastCheck = -1;
   /** When clients that have stopped sending are next looked for, us. */
   private long nextStallCheckAt;
   /** Connections that send more than is read at once or served, in the order in which they are read next. */
   private final ArrayDeque<ClientConnection> throttled = new ArrayDeque<>();
-  /** Connections closed since the queue was last shed. */
-  private int shedCount;
 
   ClientConnectionManager(EventLoop loop, MonotonicClock clock, EventLog log, ProcessMetrics metrics,
       RequestDispatcher dispatcher, RequestHead.Parser headParser, Bounds bounds) {
@@ -134,11 +132,6 @@
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            if (sheddingQueue && openConnections.size() >= maxConnections) {
-              channel.close();
-              shedCount++;
-              return;
-            }
             ClientConnection connection = new ClientConnection(ClientConnectionManager.this, channel);
             openConnections.add(connection);
             acceptedCount++;
@@ -180,9 +173,6 @@
       }
       acceptedInRead = 0;
       ctx.fireChannelReadComplete();
-      if (sheddingQueue && acceptQueueDrained) {
-        finishShedding();
-      }
     }
 
     @Override
@@ -240,7 +230,7 @@
   }
 
   private void updateAutoRead() {
-    boolean accepting = (!atCapacity || sheddingQueue) && !acceptPaused;
+    boolean accepting = !atCapacity && !acceptPaused;
     if (!accepting) {
       if (acceptQueueDrained) {
         arrivalTimes.acceptQueueEmpty();
@@ -340,25 +330,39 @@
 
   private void resumeAccepting() {
     atCapacity = false;
-    sheddingQueue = false;
     updateAutoRead();
   }
 
-  /** Closes the connections that wait in the accept queue, unread: their clients see a reset and can send
-   * their requests elsewhere, while nobody would learn of a request that waits there. */
-  private void startShedding() {
-    sheddingQueue = true;
-    shedCount = 0;
-    updateAutoRead();
+  private boolean isNearlyFull() {
+    return openConnections.size() >= maxConnections - maxConnections / NEARLY_FULL_DIVISOR;
   }
 
-  private void finishShedding() {
-    sheddingQueue = false;
-    atCapacitySince = now();
-    if (shedCount > 0) {
-      log.event("front.shed", "connections", shedCount);
+  /** Closes the connections that wait in the accept queue, unread: their clients see a reset and can send
+   * their requests elsewhere, while nobody would learn of a request that waits there. Takes them from the
+   * operating system directly, as each would hold its descriptor for an iteration of the event loop
+   * otherwise. */
+  private void shedAcceptQueue() {
+    ServerSocketChannel waiting = (ServerSocketChannel) ((AbstractNioChannel) listener).unsafe().ch();
+    int closed = 0;
+    try {
+      SocketChannel connection = waiting.accept();
+      while (connection != null && closed < ACCEPT_QUEUE_LENGTH) {
+        connection.close();
+        closed++;
+        connection = waiting.accept();
+      }
+      if (connection != null) {
+        connection.close();
+      }
+    } catch (IOException e) {
+      log.event("front.accept-failed", "reason", e);
     }
+    arrivalTimes.acceptQueueEmpty();
+    acceptQueueDrained = false;
     updateAutoRead();
+    if (closed > 0) {
+      log.event("front.shed", "connections", closed);
+    }
   }
 
   /** Closes idle connections beyond {@link #maxIdleConnections}: first those that never sent anything, at
@@ -375,7 +379,7 @@
     }
     int excess = Math.max(idleCount - maxIdleConnections, 0);
     if (excess > 0) {
-      boolean nearlyFull = openConnections.size() >= maxConnections - maxConnections / NEARLY_FULL_DIVISOR;
+      boolean nearlyFull = isNearlyFull();
       openConnections.stream()
           .filter(c -> c.idleSince() >= 0 && (nearlyFull && c.isUnused() || now - c
               .idleSince() >= MIN_IDLE_BEFORE_EVICTION_US))
@@ -391,7 +395,6 @@
     }
     if (openConnections.size() >= maxConnections && !atCapacity) {
       atCapacity = true;
-      atCapacitySince = now;
       updateAutoRead();
       log.event("front.full", "connections", openConnections.size());
     }
@@ -422,8 +425,8 @@
     List.copyOf(openConnections).forEach(c -> c.checkTimeouts(now));
     dispatcher.failOverdueRequests();
     evictIdleConnections(now);
-    if (atCapacity && !sheddingQueue && now - atCapacitySince >= MAX_QUEUE_WAIT_US) {
-      startShedding();
+    if (isNearlyFull() && now - arrivalTimes.queuedSince(now) >= MAX_QUEUE_WAIT_US) {
+      shedAcceptQueue();
     }
   }
 }
