--- a/src/test/java/hollyslip/platform/SoakAudit.java
+++ b/src/test/java/hollyslip/platform/SoakAudit.java
@@ -148,6 +148,15 @@
     disconnected.incrementAndGet();
   }
 
+  /** A client that left sends a request with the same id, on another connection. */
+  void sendingAgain(String id) {
+    TrackedRequest request = trackedRequests.get(id);
+    synchronized (request) {
+      request.sentAt = nowMs();
+      request.endedAt = NOT_ENDED;
+    }
+  }
+
   /** The client of a request knows from a reset that it was not read. */
   void notRead(String id) {
     TrackedRequest request = trackedRequests.get(id);
--- a/src/test/java/hollyslip/platform/SoakClient.java
+++ b/src/test/java/hollyslip/platform/SoakClient.java
@@ -19,6 +19,9 @@
 
   private static final int MAX_PIPELINED_REQUESTS = 40;
 
+  /** Requests that a client sends before it leaves, and how long it stays meanwhile, ms. */
+  private static final int MAX_REQUESTS_LEFT_BEHIND = 6_000, MAX_STAY_MS = 400;
+
   private final SchedulerProcessFixture fixture;
   private final SoakAudit audit;
   private final SplittableRandom random;
@@ -65,8 +68,12 @@
       pipeline(1);
     } else if (kind < 70) {
       pipeline(2 + random.nextInt(MAX_PIPELINED_REQUESTS));
-    } else if (kind < 84) {
+    } else if (kind < 80) {
       sendAndDisconnect();
+    } else if (kind < 82) {
+      leaveBehindMuchInput();
+    } else if (kind < 84) {
+      leaveAndComeAgain();
     } else if (kind < 90) {
       sendInTwoWrites();
     } else if (kind < 93) {
@@ -195,6 +202,61 @@
     closeConnection();
   }
 
+  /** Leaves with much more sent behind a request than is read at once. */
+  private void leaveBehindMuchInput() throws IOException, InterruptedException {
+    List<String> ids = new ArrayList<>();
+    StringBuilder bytes = new StringBuilder();
+    int count = 1 + random.nextInt(MAX_REQUESTS_LEFT_BEHIND);
+    for (int i = 0; i < count; i++) {
+      bytes.append(newRequest(ids));
+    }
+    try {
+      send(bytes.toString());
+      ids.forEach(audit::sent);
+    } catch (IOException reset) {
+      ids.forEach(audit::notRead);
+      throw reset;
+    }
+    Thread.sleep(random.nextInt(MAX_STAY_MS));
+    ids.forEach(audit::disconnecting);
+    if (random.nextBoolean()) {
+      socket.shutdownOutput();
+      socket.setSoTimeout(MAX_STAY_MS);
+      readUntilClosed();
+    }
+    closeConnection();
+  }
+
+  private void readUntilClosed() {
+    try {
+      while (socket.getInputStream().read() >= 0) {
+        // What comes after the client has left is of no interest.
+      }
+    } catch (IOException ended) {
+      // A reset, or nothing in time.
+    }
+  }
+
+  /** Leaves while its request is open, and sends the same id on another connection. */
+  private void leaveAndComeAgain() throws IOException, InterruptedException {
+    List<String> ids = new ArrayList<>();
+    String bytes = newRequest(ids);
+    try {
+      send(bytes);
+      ids.forEach(audit::sent);
+    } catch (IOException reset) {
+      ids.forEach(audit::notRead);
+      throw reset;
+    }
+    Thread.sleep(random.nextInt(MAX_STAY_MS));
+    audit.disconnecting(ids.get(0));
+    closeConnection();
+    Thread.sleep(random.nextInt(MAX_STAY_MS));
+    connect();
+    audit.sendingAgain(ids.get(0));
+    sendAndAwaitResponses(ids, bytes);
+  }
+
   private void sendInTwoWrites() throws IOException, InterruptedException {
     List<String> ids = new ArrayList<>();
     String bytes = newRequest(ids);
