Notice a ring client's end while one of its rings is being stopped

Change: the socket is polled for a hang-up in every state, and a hang-up ends the device whatever messages stand before it. Evidence: DepartedRingClientTest failed (a client that left beside a stalled node was not noticed within 100 ms) and holds now; the ring, hostile-client and recovery tests are green (arm64).

--- a/src/main/java/hollyslip/front/sys/Linux.java
+++ b/src/main/java/hollyslip/front/sys/Linux.java
@@ -384,7 +384,7 @@
     return new Mapping(address, length);
   }
 
-  /** A set of file descriptors to wait for input on (poll(2)). */
+  /** A set of file descriptors to wait for input on (poll(2)). Hang-ups are reported for all of them. */
   public static final class Poll {
     private Memory pollFds = new Memory(8 * 64);
     private int count;
@@ -394,6 +394,15 @@
     }
 
     public void add(int fd) {
+      add(fd, POLLIN);
+    }
+
+    /** Adds a file descriptor to wait for a hang-up only: its input is not reported. */
+    public void addForHangUp(int fd) {
+      add(fd, (short) 0);
+    }
+
+    private void add(int fd, short events) {
       if (8L * (count + 1) > pollFds.size()) {
         Memory larger = new Memory(pollFds.size() * 2);
         byte[] old = pollFds.getByteArray(0, (int) pollFds.size());
@@ -401,7 +410,7 @@
         pollFds = larger;
       }
       pollFds.setInt(8L * count, fd);
-      pollFds.setInt(8L * count + 4, POLLIN);
+      pollFds.setInt(8L * count + 4, events);
       count++;
     }
 
--- a/src/main/java/hollyslip/front/vhost/Device.java
+++ b/src/main/java/hollyslip/front/vhost/Device.java
@@ -24,6 +24,9 @@
 final class Device implements Runnable {
   private static final Logger LOG = LoggerFactory.getLogger(Device.class);
 
+  /** Positions of file descriptors in what is polled. */
+  private static final int WAKE_UP_INDEX = 0, SOCKET_INDEX = 1, FIRST_RING_INDEX = 2;
+
   private final RequestIntake engine;
   private final long userId;
   private final int socket;
@@ -183,10 +186,12 @@
     }
     poll.clear();
     poll.add(wakeUpFd);
-    if (connection.drainingRing() == null) {
+    boolean readsMessages = connection.drainingRing() == null;
+    if (readsMessages) {
       poll.add(socket);
+    } else {
+      poll.addForHangUp(socket);
     }
-    int firstRing = connection.drainingRing() == null ? 2 : 1;
     List<Ring> rings = new ArrayList<>();
     for (Ring ring : connection.rings()) {
       if (ring.kickFd >= 0) {
@@ -195,16 +200,20 @@
       }
     }
     poll.await(timeoutMs);
-    if (poll.events(0) != 0) {
+    if (poll.events(WAKE_UP_INDEX) != 0) {
       Linux.drainEventfd(wakeUpFd);
     }
+    if ((poll.events(SOCKET_INDEX) & Linux.POLLHUP) != 0) {
+      // The client has gone, whatever it sent before that was not read.
+      throw new VhostUserConnection.DisconnectedException();
+    }
     for (int i = 0; i < rings.size(); i++) {
-      if (poll.events(firstRing + i) != 0) {
+      if (poll.events(FIRST_RING_INDEX + i) != 0) {
         Linux.drainEventfd(rings.get(i).kickFd);
         connection.start(rings.get(i));
       }
     }
-    if (connection.drainingRing() == null && poll.events(1) != 0) {
+    if (readsMessages && poll.events(SOCKET_INDEX) != 0) {
       connection.receive();
     }
   }
