Give each request of a second test an id of its own

RaceConditionsTest#unexpectedBytesOnAReusedConnectionAnswerNoRequest sent one id again and again, and failed since: an id that was sent is answered 409 and not sent again. It checks as much as before.

--- a/src/test/java/hollyslip/platform/RaceConditionsTest.java
+++ b/src/test/java/hollyslip/platform/RaceConditionsTest.java
@@ -88,11 +88,12 @@
   void unexpectedBytesOnAReusedConnectionAnswerNoRequest() throws Exception {
     try (SchedulerFixture fixture = new SchedulerFixture();
         SchedulerFixture.Client client = fixture.client()) {
+      int requests = 0;
       for (String extra : List.of("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy", "HTTP/1.1 2", "\r\n")) {
         ScriptedServer.ReceivedRequest attempt = null;
         for (boolean reused = false; !reused;) {
           ScriptedServer.ReceivedRequest previous = attempt;
-          client.send(SchedulerFixture.readRequest("t"));
+          client.send(SchedulerFixture.readRequest("t" + requests++));
           attempt = fixture.diskServer.nextRequest();
           reused = previous != null && previous.connection() == attempt.connection();
           attempt.respondOk("mine");
@@ -105,7 +106,7 @@
         }
         try (AutoCloseable held = fixture.blockEventLoop()) {
           attempt.respond(extra);
-          client.send(SchedulerFixture.readRequest("next"));
+          client.send(SchedulerFixture.readRequest("next" + requests++));
         }
         ScriptedServer.ReceivedRequest next = fixture.diskServer.nextRequest();
         assertNotSame(attempt.connection(), next.connection());
