Read a client's input in a class of its own

Need: ClientConnection had grown to 576 lines and held reading, turns and backlog beside requests and responses. Change: ClientInput reads, ClientConnection handles; names say what is meant (read in turn).

--- a/src/main/java/hollyslip/platform/ClientConnection.java
+++ b/src/main/java/hollyslip/platform/ClientConnection.java
@@ -24,19 +24,14 @@
  * reset.
  *
  * <p>
- * Input is read in every state, as the end of the connection stands behind it: a client that closes its
- * connection, or only its output, has gone, and its open request is abandoned. Input that comes faster than
- * it can be served is read in turn with that of other such connections. */
+ * A client that closes its connection, or only its output, has gone: its open request is abandoned in every
+ * state, however much stands before its end ({@link ClientInput}). */
 final class ClientConnection {
   /** Bytes that are discarded after the last response before the connection is closed: a client that keeps
    * sending at full speed would take up the event loop's time. The drawback is that such a client may see a
    * reset instead of the error. */
   private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
-  /** Maximum number of consecutive reads when pending input is read: a request and the end of the connection
-   * after it take two. */
-  private static final int MAX_CONSECUTIVE_READS = 16;
-
   /** Size of responses without a body from which on no more are added to a write, bytes, and how many equal
    * ones are added at once. */
   private static final int MAX_BYTES_PER_WRITE = 4 << 10, MAX_RESPONSES_PER_ITEM = 64;
@@ -66,22 +61,12 @@
   private final RequestQueue queued;
   private State state = State.OPEN;
   private Exchange current;
-  /** Estimated arrival of the bytes being read, and of bytes received before the connection was accepted,
-   * us. */
-  private long arrivedAt, queuedSince;
-  private long idleSince, lastReceivedAt, writeStartedAt = -1;
+  private long idleSince, writeStartedAt = -1;
   /** Since when a partial request has been present or the first request has been awaited; -1: neither. */
   private long partialRequestSince;
-  /** Total bytes read, and how many of them were discarded. */
-  private long bytesRead;
+  private final ClientInput input;
   private long discardedBytes;
-  private boolean insideRead;
-  /** Whether input is read only when {@link #readThrottled} is called. */
-  private boolean throttled;
-  /** Whether more input was pending than one check reads, and its end has not been reached since. */
-  private boolean backlogged;
   private boolean excessLogged;
-  private final UnreadInput unreadInput = new UnreadInput();
   private String closeReason = "client closed";
 
   ClientConnection(ClientConnectionManager manager, Channel channel) {
@@ -91,7 +76,7 @@
     queued = new RequestQueue(manager.dispatcher().requestBytes());
     partialRequestSince = manager.now();
     idleSince = partialRequestSince;
-    queuedSince = manager.arrivalTimes().queuedSince(partialRequestSince);
+    input = new ClientInput(manager, channel, new InputOwner());
   }
 
   void start() {
@@ -106,7 +91,7 @@
 
   /** Whether no byte of a request was ever received. */
   boolean isUnused() {
-    return bytesRead == 0;
+    return input.bytesRead() == 0;
   }
 
   /** Whether no request is open, queued or partly read and no response is being written. */
@@ -119,7 +104,7 @@
    * is not read, which the client learns from a reset. */
   void closeIfIdle(String reason) {
     if (isIdle()) {
-      readPending();
+      input.readPending();
       if (isIdle()) {
         close(reason);
       }
@@ -130,7 +115,7 @@
    * close with unread bytes causes a reset, which could keep the error response from the client. */
   void closeIfDiscarding() {
     if (state == State.DISCARDING) {
-      readPending();
+      input.readPending();
       close("closed after an error response");
     }
   }
@@ -142,77 +127,13 @@
     channel.close();
   }
 
-  /** Reads pending input, including the end of the connection, up to a limit. Returns whether the end of the
-   * input was reached. */
-  private boolean readPending() {
-    if (state == State.CLOSED) {
-      return true;
-    }
-    boolean endReached = false;
-    for (int i = 0; i < MAX_CONSECUTIVE_READS && !endReached && !insideRead && channel.isActive(); i++) {
-      long bytesBefore = bytesRead;
-      HttpSupport.readPending(channel);
-      endReached = bytesRead == bytesBefore;
-    }
-    if (!channel.isActive()) {
-      // Handlers would be notified only in a later task of the event loop.
-      connectionClosed();
-      return true;
-    }
-    return endReached;
-  }
-
-  /** Reads pending input. Returns whether all of it was read; if not, the client may have disconnected. Input
-   * of a client that is known to send more than is served waits for its turn. */
-  private boolean readToEnd() {
-    if (throttled && queued.isFull()) {
-      return false;
-    }
-    if (!backlogged) {
-      backlogged = !readPending();
-      throttleIfNeeded();
-    }
-    return !backlogged;
-  }
-
-  /** Reads once, for a connection that sends more than is served. Returns whether it is to be read in this
-   * way again; otherwise it is read like others from now on. */
-  boolean readThrottled() {
-    long bytesBefore = bytesRead;
-    HttpSupport.readPending(channel);
-    boolean endReached = bytesRead == bytesBefore;
-    backlogged &= !endReached;
-    throttled = !endReached && needsThrottling();
-    if (!throttled && channel.isActive()) {
-      channel.config().setAutoRead(true);
-    }
-    return throttled;
-  }
-
-  /** Whether the connection sends more than is read at once or served, so that others come first. */
-  private boolean needsThrottling() {
-    return channel.isActive() && (unreadInput.mayBeLeft() || backlogged || queued.isFull() || !state
-        .acceptsRequests());
-  }
-
-  private void throttleIfNeeded() {
-    if (!throttled && needsThrottling()) {
-      throttled = true;
-      if (queued.isFull()) {
-        logExcess();
-      }
-      channel.config().setAutoRead(false);
-      manager.throttle(this);
-    }
-  }
-
   /** Logs the first time that the connection has more requests waiting than are served. */
   private void logExcess() {
     if (!excessLogged && state.acceptsRequests()) {
       excessLogged = true;
       manager.log()
           .event("request.too-many-at-once", "client", channel.remoteAddress(), "open", openTransaction(),
-              "waiting", queued.pendingResponses(), "read", bytesRead);
+              "waiting", queued.pendingResponses(), "read", input.bytesRead());
     }
   }
 
@@ -233,7 +154,7 @@
 
   /** When bytes were last received, us. */
   long lastReceivedAt() {
-    return lastReceivedAt;
+    return input.lastReceivedAt();
   }
 
   /** Stops waiting for a first request or for the rest of a partial one. */
@@ -371,7 +292,7 @@
 
     @Override
     public boolean readToEnd() {
-      return ClientConnection.this.readToEnd();
+      return input.readToEnd();
     }
   }
 
@@ -470,8 +391,7 @@
           .event("client.closed", "client", channel.remoteAddress(), "reason", closeReason, "state", state,
               "open", openTransaction(), "waiting", queued.pendingResponses(), "partial", decoder
                   .hasPartialRequest(),
-              "read", bytesRead, "dropped", discardedBytes, "end_hidden_ms", unreadInput.endHiddenForUs(
-                  manager.now()) / 1000);
+              "read", input.bytesRead(), "dropped", discardedBytes, "end_hidden_ms", input.endHiddenForMs());
     }
   }
 
@@ -483,52 +403,52 @@
   private final class InboundBytesHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      ByteBuf bytes = (ByteBuf) message;
-      int count = bytes.readableBytes();
-      long readAt = manager.now();
-      unreadInput.read(!bytes.isWritable(), readAt);
-      if (unreadInput.mayBeLeft()) {
-        manager.dispatcher().keyOrder().inputLeft();
-      }
-      arrivedAt = bytesRead == 0
-          ? Math.min(queuedSince, readAt)
-          : manager.arrivalTimes().earliestArrival(readAt);
-      bytesRead += count;
-      lastReceivedAt = readAt;
+      input.received((ByteBuf) message, () -> handle(ctx, (ByteBuf) message));
+    }
+
+    private void handle(ChannelHandlerContext ctx, ByteBuf bytes) {
       if (!state.acceptsRequests()) {
-        discard(message, count);
+        discard(bytes);
         return;
       }
+      long readAt = input.lastReceivedAt();
       if (partialRequestSince < 0) {
         partialRequestSince = readAt;
       }
-      insideRead = true;
-      try {
-        ctx.fireChannelRead(message);
-      } finally {
-        insideRead = false;
-      }
+      ctx.fireChannelRead(bytes);
       if (!decoder.hasPartialRequest() || !state.acceptsRequests()) {
         partialRequestSince = -1;
       } else if (partialRequestSince < 0) {
         // These bytes completed one request and started the next.
         partialRequestSince = readAt;
       }
-      throttleIfNeeded();
+      if (queued.isFull()) {
+        logExcess();
+      }
     }
 
     /** While requests read before an error are owed their responses, all further input is discarded. */
-    private void discard(Object message, int count) {
-      discardedBytes += count;
-      ReferenceCountUtil.release(message);
+    private void discard(ByteBuf bytes) {
+      discardedBytes += bytes.readableBytes();
+      bytes.release();
       if (state == State.DISCARDING && discardedBytes > MAX_DISCARDED_BYTES) {
         close("too much input after an error");
-      } else {
-        throttleIfNeeded();
       }
     }
   }
 
+  private final class InputOwner implements ClientInput.Owner {
+    @Override
+    public boolean hasExcessInput() {
+      return queued.isFull() || !state.acceptsRequests();
+    }
+
+    @Override
+    public void connectionClosed() {
+      ClientConnection.this.connectionClosed();
+    }
+  }
+
   private final class RequestHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
@@ -538,7 +458,7 @@
           assembler.startRequest(request, first, queued.isFull());
         }
         if (state.acceptsRequests() && message instanceof HttpContent content) {
-          InboundRequest complete = assembler.addContent(content, arrivedAt);
+          InboundRequest complete = assembler.addContent(content, input.arrivedAt());
           if (complete != null) {
             partialRequestSince = -1;
             if (complete.isInvalid() && queued.hasMaxInvalidRequests()) {
--- a/src/main/java/hollyslip/platform/ClientConnectionManager.java
+++ b/src/main/java/hollyslip/platform/ClientConnectionManager.java
@@ -67,8 +67,8 @@
 
   private static final long SWEEP_INTERVAL_MS = 100;
 
-  /** Time for which throttled connections are read in one iteration of the event loop, us. */
-  private static final long MAX_THROTTLED_READING_US = 10_000;
+  /** Time for which connections are read in turn in one iteration of the event loop, us. */
+  private static final long MAX_READING_IN_TURN_US = 10_000;
 
   /** A delay of the event loop from this on is logged, us. */
   private static final long MIN_LOGGED_DELAY_US = 100_000;
@@ -94,6 +94,9 @@
   private final ArrivalTimeEstimator arrivalTimes;
   private Channel listener;
   private boolean ready, draining, atCapacity, acceptPaused;
+  /** Whether the limit was reached since the accept queue was last empty: connections may wait for a
+   * place. */
+  private boolean queuedAtCapacity;
   /** Whether the last accept loop ended because the accept queue was empty. */
   private boolean acceptQueueDrained;
   /** Connections accepted so far, and that number at the last call of {@link #closeIfDrained}. */
@@ -101,7 +104,7 @@
   /** When clients that have stopped sending are next looked for, us. */
   private long nextStallCheckAt;
   /** Connections that send more than is read at once or served, in the order in which they are read next. */
-  private final ArrayDeque<ClientConnection> throttled = new ArrayDeque<>();
+  private final ArrayDeque<ClientInput> readInTurn = new ArrayDeque<>();
 
   ClientConnectionManager(EventLoop loop, MonotonicClock clock, EventLog log, ProcessMetrics metrics,
       RequestDispatcher dispatcher, RequestHead.Parser headParser, Bounds bounds) {
@@ -158,7 +161,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object connection) {
       if (acceptedInRead++ == 0 && acceptQueueDrained) {
-        arrivalTimes.acceptQueueEmpty();
+        acceptQueueFoundEmpty();
       }
       ctx.fireChannelRead(connection);
     }
@@ -192,32 +195,32 @@
     }
   }
 
-  /** Reads a connection in turn with others like it, for a limited part of the event loop's time: requests
-   * beyond those that are served must not keep other clients waiting. */
-  void throttle(ClientConnection connection) {
-    if (throttled.isEmpty()) {
-      scheduleThrottledReads();
+  /** Reads a connection in turn with others like it, for a limited part of the event loop's time: input
+   * beyond what is served must not keep other clients waiting. */
+  void readInTurn(ClientInput input) {
+    if (readInTurn.isEmpty()) {
+      scheduleReadsInTurn();
     }
-    throttled.add(connection);
+    readInTurn.add(input);
   }
 
-  private void scheduleThrottledReads() {
-    ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(this::readThrottled));
+  private void scheduleReadsInTurn() {
+    ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(this::readInTurn));
   }
 
-  private void readThrottled() {
-    long readUntil = now() + MAX_THROTTLED_READING_US;
-    for (int unread = throttled.size(); unread > 0 && now() < readUntil; unread--) {
-      ClientConnection connection = throttled.peek();
-      boolean staysThrottled = connection.readThrottled();
-      throttled.poll();
-      if (staysThrottled) {
-        throttled.add(connection);
+  private void readInTurn() {
+    long readUntil = now() + MAX_READING_IN_TURN_US;
+    for (int unread = readInTurn.size(); unread > 0 && now() < readUntil; unread--) {
+      ClientInput input = readInTurn.peek();
+      boolean again = input.readInTurn();
+      readInTurn.poll();
+      if (again) {
+        readInTurn.add(input);
       }
     }
-    if (!throttled.isEmpty()) {
+    if (!readInTurn.isEmpty()) {
       dispatcher.keyOrder().inputLeft();
-      scheduleThrottledReads();
+      scheduleReadsInTurn();
     }
   }
 
@@ -233,7 +236,7 @@
     boolean accepting = !atCapacity && !acceptPaused;
     if (!accepting) {
       if (acceptQueueDrained) {
-        arrivalTimes.acceptQueueEmpty();
+        acceptQueueFoundEmpty();
         acceptQueueDrained = false;
       }
       arrivalTimes.acceptingStopped(now());
@@ -317,8 +320,8 @@
   }
 
   /** Number of connections that are read in turn. */
-  int throttledCount() {
-    return throttled.size();
+  int readInTurnCount() {
+    return readInTurn.size();
   }
 
   void connectionClosed(ClientConnection connection) {
@@ -333,8 +336,9 @@
     updateAutoRead();
   }
 
-  private boolean isNearlyFull() {
-    return openConnections.size() >= maxConnections - maxConnections / NEARLY_FULL_DIVISOR;
+  private void acceptQueueFoundEmpty() {
+    arrivalTimes.acceptQueueEmpty();
+    queuedAtCapacity = atCapacity;
   }
 
   /** Closes the connections that wait in the accept queue, unread: their clients see a reset and can send
@@ -357,7 +361,7 @@
     } catch (IOException e) {
       log.event("front.accept-failed", "reason", e);
     }
-    arrivalTimes.acceptQueueEmpty();
+    acceptQueueFoundEmpty();
     acceptQueueDrained = false;
     updateAutoRead();
     if (closed > 0) {
@@ -379,7 +383,7 @@
     }
     int excess = Math.max(idleCount - maxIdleConnections, 0);
     if (excess > 0) {
-      boolean nearlyFull = isNearlyFull();
+      boolean nearlyFull = openConnections.size() >= maxConnections - maxConnections / NEARLY_FULL_DIVISOR;
       openConnections.stream()
           .filter(c -> c.idleSince() >= 0 && (nearlyFull && c.isUnused() || now - c
               .idleSince() >= MIN_IDLE_BEFORE_EVICTION_US))
@@ -395,6 +399,7 @@
     }
     if (openConnections.size() >= maxConnections && !atCapacity) {
       atCapacity = true;
+      queuedAtCapacity = true;
       updateAutoRead();
       log.event("front.full", "connections", openConnections.size());
     }
@@ -425,7 +430,7 @@
     List.copyOf(openConnections).forEach(c -> c.checkTimeouts(now));
     dispatcher.failOverdueRequests();
     evictIdleConnections(now);
-    if (isNearlyFull() && now - arrivalTimes.queuedSince(now) >= MAX_QUEUE_WAIT_US) {
+    if (queuedAtCapacity && now - arrivalTimes.queuedSince(now) >= MAX_QUEUE_WAIT_US) {
       shedAcceptQueue();
     }
   }
--- a/src/main/java/hollyslip/platform/SchedulerProcess.java
+++ b/src/main/java/hollyslip/platform/SchedulerProcess.java
@@ -251,8 +251,9 @@
   private void logMetrics() {
     log.event("node.counters", metrics.takeReport());
     Runtime runtime = Runtime.getRuntime();
-    log.event("node.held", "connections", connectionManager.connectionCount(), "throttled", connectionManager
-        .throttledCount(), "open", dispatcher.openRequestCount(), "request_bytes", dispatcher.requestBytes()
+    log.event("node.held", "connections", connectionManager.connectionCount(), "read_in_turn",
+        connectionManager.readInTurnCount(), "open", dispatcher.openRequestCount(), "request_bytes",
+        dispatcher.requestBytes()
             .used(), "remembered_ids", dispatcher.rememberedTransactionCount(), "known_names", scheduler
                 .knownNames(), "disk_connections", diskPool
                     .connectionCount(), "heap_mb", (runtime.totalMemory()
