--- a/src/test/java/hollyslip/platform/SoakClient.java
+++ b/src/test/java/hollyslip/platform/SoakClient.java
@@ -119,8 +119,8 @@
     sendAndAwaitResponses(ids, bytes.toString());
   }
 
-  private void sendAndAwaitResponses(List<String> ids, String bytes) throws IOException,
-      InterruptedException {
+  /** Sends requests in one write; a client that cannot write learns that they were not read. */
+  private void sendRequests(List<String> ids, String bytes) throws IOException {
     try {
       send(bytes);
       ids.forEach(audit::sent);
@@ -128,6 +128,11 @@
       ids.forEach(audit::notRead);
       throw reset;
     }
+  }
+
+  private void sendAndAwaitResponses(List<String> ids, String bytes) throws IOException,
+      InterruptedException {
+    sendRequests(ids, bytes);
     awaitResponses(ids);
   }
 
@@ -187,13 +192,7 @@
   private void sendAndDisconnect() throws IOException, InterruptedException {
     List<String> ids = new ArrayList<>();
     String bytes = newRequest(ids);
-    try {
-      send(bytes);
-      ids.forEach(audit::sent);
-    } catch (IOException reset) {
-      ids.forEach(audit::notRead);
-      throw reset;
-    }
+    sendRequests(ids, bytes);
     Thread.sleep(random.nextInt(4) == 0 ? random.nextInt(300) : 0);
     audit.disconnecting(ids.get(0));
     if (random.nextBoolean()) {
@@ -210,13 +209,7 @@
     for (int i = 0; i < count; i++) {
       bytes.append(newRequest(ids));
     }
-    try {
-      send(bytes.toString());
-      ids.forEach(audit::sent);
-    } catch (IOException reset) {
-      ids.forEach(audit::notRead);
-      throw reset;
-    }
+    sendRequests(ids, bytes.toString());
     Thread.sleep(random.nextInt(MAX_STAY_MS));
     ids.forEach(audit::disconnecting);
     if (random.nextBoolean()) {
@@ -241,13 +234,7 @@
   private void leaveAndComeAgain() throws IOException, InterruptedException {
     List<String> ids = new ArrayList<>();
     String bytes = newRequest(ids);
-    try {
-      send(bytes);
-      ids.forEach(audit::sent);
-    } catch (IOException reset) {
-      ids.forEach(audit::notRead);
-      throw reset;
-    }
+    sendRequests(ids, bytes);
     Thread.sleep(random.nextInt(MAX_STAY_MS));
     audit.disconnecting(ids.get(0));
     closeConnection();
